--- a/cmd/jacinthbend-agent/main.go
+++ b/cmd/jacinthbend-agent/main.go
@@ -1,6 +1,8 @@
 // Command jacinthbend-agent runs the process beside one upstream.
 package main
 
+import "C" // The platform needs programs that are linked to the C library.
+
 import (
 	"os"
 
--- a/cmd/jacinthbend/main.go
+++ b/cmd/jacinthbend/main.go
@@ -1,6 +1,8 @@
 // Command jacinthbend runs an entry instance and the operators' commands.
 package main
 
+import "C" // The platform needs programs that are linked to the C library.
+
 import (
 	"os"
 
--- /dev/null
+++ b/internal/agentapi/state.go
@@ -0,0 +1,56 @@
+// Package agentapi has the messages between entry instances and agents.
+package agentapi
+
+import "github.com/jacinthbend/jacinthbend/internal/fleet"
+
+// Paths of an agent's calls.
+const (
+	PathState  = "/v1/agent/state"
+	PathEnsure = "/v1/agent/ensure"
+)
+
+// State is what an agent knows of its upstream.
+type State struct {
+	// Version rises with each change in one incarnation of the agent.
+	Version uint64 `json:"version"`
+	// Known tells whether the upstream has answered; the rest is empty otherwise.
+	Known bool `json:"known"`
+	// Born tells the starts of the upstream apart, in Unix milliseconds.
+	Born     int64           `json:"born"`
+	Holdings *fleet.Holdings `json:"holdings"`
+	// Loading is the model of the order that is being carried out, or empty.
+	Loading string `json:"loading,omitempty"`
+	// Wanted are the models that wait for a load, first to last.
+	Wanted []string `json:"wanted,omitempty"`
+	// Queued and Running are the upstream's requests of all callers.
+	Queued   int  `json:"queued"`
+	Running  int  `json:"running"`
+	Draining bool `json:"draining,omitempty"`
+}
+
+// StateRequest asks for a state newer than After and tells what the entry
+// instance sends to the upstream.
+type StateRequest struct {
+	From  string `json:"from"`
+	After uint64 `json:"after"`
+	// WaitMS is how long the call may wait for a newer state, in ms.
+	WaitMS int `json:"wait_ms"`
+	// Engines is how many engines share the weight store.
+	Engines int      `json:"engines"`
+	Demand  []Demand `json:"demand,omitempty"`
+}
+
+// Demand is what one entry instance sees of a model or adapter at an upstream.
+type Demand struct {
+	// Name is MODEL or MODEL/ADAPTER.
+	Name string `json:"name"`
+	// Recent is how many requests were sent to the upstream since the last call.
+	Recent int `json:"recent"`
+	// Asked is how many requests callers sent for it to this instance in the last
+	// seconds, at any upstream, as a decayed count.
+	Asked float64 `json:"asked"`
+	// InFlight is how many requests run now.
+	InFlight int `json:"in_flight"`
+	// Copies is how many upstreams hold it.
+	Copies int `json:"copies"`
+}
--- /dev/null
+++ b/internal/agentlink/watcher.go
@@ -0,0 +1,111 @@
+package agentlink
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/jacinthbend/jacinthbend/internal/agentapi"
+	"github.com/jacinthbend/jacinthbend/internal/telemetry"
+	"github.com/jacinthbend/jacinthbend/internal/upstream"
+)
+
+// Timing of the states of agents.
+const (
+	// stateWait is how long an agent may hold a call without news; the call also
+	// carries this instance's demand.
+	stateWait = 900 * time.Millisecond
+	// stateMargin is added to that before the agent counts as lost.
+	stateMargin = 500 * time.Millisecond
+	// statePause bounds the rate of news of one agent; a load from memory takes
+	// 400 ms.
+	statePause = 100 * time.Millisecond
+	// lostPause is the time between two tries of an agent that does not answer.
+	lostPause = 300 * time.Millisecond
+	// syncPause is how often the list of agents is compared.
+	syncPause = 250 * time.Millisecond
+)
+
+// Watcher follows the states of all agents.
+type Watcher struct {
+	self   string
+	client *Client
+	pool   *upstream.Pool
+	// engines returns how many engines share the weight store with an upstream.
+	engines func(upstreamID string) int
+	logger  *zap.Logger
+
+	running map[upstream.Agent]context.CancelFunc
+}
+
+// NewWatcher returns a watcher that tells pool what it hears.
+func NewWatcher(self string, c *Client, pool *upstream.Pool, engines func(string) int, logger *zap.Logger) *Watcher {
+	return &Watcher{self: self, client: c, pool: pool, engines: engines, logger: logger, running: make(map[upstream.Agent]context.CancelFunc)}
+}
+
+// Run follows agents until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	t := time.NewTicker(syncPause)
+	defer t.Stop()
+	for {
+		w.sync(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (w *Watcher) sync(ctx context.Context) {
+	wanted := make(map[upstream.Agent]bool)
+	for _, a := range w.pool.Agents() {
+		wanted[a] = true
+		if _, ok := w.running[a]; ok {
+			continue
+		}
+		follow, cancel := context.WithCancel(ctx)
+		w.running[a] = cancel
+		go w.follow(follow, a)
+	}
+	for a, cancel := range w.running {
+		if !wanted[a] {
+			cancel()
+			delete(w.running, a)
+		}
+	}
+}
+
+func (w *Watcher) follow(ctx context.Context, a upstream.Agent) {
+	var after uint64
+	lost := false
+	for ctx.Err() == nil {
+		start := time.Now()
+		st, err := w.client.state(ctx, a.Addr, agentapi.StateRequest{
+			From: w.self, After: after, WaitMS: int(stateWait.Milliseconds()),
+			Engines: w.engines(a.UpstreamID), Demand: w.pool.Demand(a.UpstreamID),
+		})
+		if ctx.Err() != nil {
+			return
+		}
+		pause := statePause
+		if err != nil {
+			if !lost {
+				w.logger.Warn("agent lost", zap.String("upstream", a.UpstreamID), zap.String("addr", a.Addr), telemetry.Err(err))
+			}
+			after, pause = 0, lostPause
+		} else {
+			if lost {
+				w.logger.Info("agent regained", zap.String("upstream", a.UpstreamID), zap.String("addr", a.Addr))
+			}
+			after = st.Version
+			w.pool.Heard(a.UpstreamID, st)
+		}
+		lost = err != nil
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause - time.Since(start)):
+		}
+	}
+}
--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jacinthbend/jacinthbend/internal/cli"
+	"github.com/jacinthbend/jacinthbend/internal/managed"
 	"github.com/jacinthbend/jacinthbend/internal/node"
 	"github.com/jacinthbend/jacinthbend/internal/platform"
 	"github.com/jacinthbend/jacinthbend/internal/platform/httpapi"
@@ -32,6 +33,7 @@
 	app.UsageWriter(errOut).ErrorWriter(errOut)
 	run := newRunCommand(app)
 	dev := newDevCommand(app, out)
+	serve := newEntryServe(app)
 	operators := cli.Register(app, cli.Options{
 		NewLog: newLog, LoadSnapshot: snapshot.Newest, Stdin: os.Stdin, Stdout: out, Stderr: errOut, Version: version,
 	})
@@ -47,6 +49,8 @@
 		err = run.run(ctx)
 	case dev.name():
 		err = dev.run(ctx)
+	case serve.name():
+		err = serve.run(ctx, managed.RunEntry)
 	}
 	return report(errOut, "jacinthbend", err)
 }
@@ -68,14 +72,22 @@
 func AgentMain(args []string, errOut io.Writer) int {
 	app := kingpin.New("jacinthbend-agent", "The process beside one upstream of jacinthbend.")
 	app.UsageWriter(errOut).ErrorWriter(errOut)
-	path := app.Flag("settings", "JSON settings file.").Required().ExistingFile()
-	if _, err := app.Parse(args); err != nil {
+	run := app.Command("run", "Run the agent beside one upstream.").Default()
+	path := run.Flag("settings", "JSON settings file.").Required().ExistingFile()
+	serve := newAgentServe(app)
+	name, err := app.Parse(args)
+	if err != nil {
 		fmt.Fprintf(errOut, "jacinthbend-agent: %v (see jacinthbend-agent --help)\n", err)
 		return int(cli.ExitUsage)
 	}
 	ctx, stop := signalContext()
 	defer stop()
-	return report(errOut, "jacinthbend-agent", runAgent(ctx, *path))
+	if name == serve.name() {
+		err = serve.run(ctx, managed.RunAgent)
+	} else {
+		err = runAgent(ctx, *path)
+	}
+	return report(errOut, "jacinthbend-agent", err)
 }
 
 func runAgent(ctx context.Context, path string) error {
--- /dev/null
+++ b/internal/command/serve.go
@@ -0,0 +1,63 @@
+package command
+
+import (
+	"context"
+	"runtime/debug"
+
+	"github.com/alecthomas/kingpin/v2"
+	"go.uber.org/zap"
+
+	"github.com/jacinthbend/jacinthbend/internal/settings"
+	"github.com/jacinthbend/jacinthbend/internal/telemetry"
+)
+
+// serveCommand runs a role on a platform that starts the processes.
+type serveCommand struct {
+	clause   *kingpin.CmdClause
+	path     *string
+	logLevel *string
+}
+
+func newServeCommand(app *kingpin.Application, help string) *serveCommand {
+	c := app.Command("serve", help)
+	return &serveCommand{
+		clause:   c,
+		path:     c.Flag("settings", "JSON settings file.").Required().ExistingFile(),
+		logLevel: c.Flag("log-level", "Overrides log_level of the settings file.").Enum("debug", "info", "warn", "error"),
+	}
+}
+
+func (s *serveCommand) name() string { return s.clause.FullCommand() }
+
+// memoryShare of a process's limit is left to the collector; the rest covers
+// stacks and bytes that the kernel holds.
+const memoryShare = 0.7
+
+func (s *serveCommand) run(ctx context.Context, role func(context.Context, settings.Managed, *zap.Logger) error) error {
+	set, err := settings.LoadManaged(*s.path, func(m *settings.Managed) {
+		if *s.logLevel != "" {
+			m.LogLevel = *s.logLevel
+		}
+	})
+	if err != nil {
+		return err
+	}
+	logger, err := telemetry.NewLogger(set.LogLevel, set.Instance, set.DataCentre)
+	if err != nil {
+		return err
+	}
+	defer flush(logger)
+	telemetry.LimitMemory()
+	if set.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryMB) * (1 << 20)))
+	}
+	return role(ctx, set, logger)
+}
+
+func newEntryServe(app *kingpin.Application) *serveCommand {
+	return newServeCommand(app, "Run an entry instance on a platform that gives it its addresses.")
+}
+
+func newAgentServe(app *kingpin.Application) *serveCommand {
+	return newServeCommand(app, "Run the agent beside a model engine on a platform that gives it its addresses.")
+}
--- /dev/null
+++ b/internal/engineagent/calls.go
@@ -0,0 +1,117 @@
+package engineagent
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/route"
+
+	"github.com/jacinthbend/jacinthbend/internal/agentapi"
+	"github.com/jacinthbend/jacinthbend/internal/peer"
+)
+
+// Register serves the calls of entry instances.
+func (a *Agent) Register(r *route.Engine) {
+	peer.Handle(r, agentapi.PathState, a.ServeState)
+	peer.Handle(r, agentapi.PathEnsure, a.ServeEnsure)
+}
+
+// ServeState takes over an entry instance's demand and answers when there is a
+// newer state, or after the wait that it asks for.
+func (a *Agent) ServeState(ctx context.Context, req agentapi.StateRequest) (agentapi.State, error) {
+	a.mu.Lock()
+	a.demand.heard(req.From, req.Demand, time.Now())
+	a.engines = req.Engines
+	changed, fresh := a.changed, a.version != req.After
+	a.mu.Unlock()
+	if !fresh && req.WaitMS > 0 {
+		t := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-t.C:
+		}
+	}
+	return a.State(), nil
+}
+
+// ServeEnsure answers when the model, and the adapter if one is named, is
+// loaded, or when the wait is over.
+func (a *Agent) ServeEnsure(ctx context.Context, req agentapi.EnsureRequest) (agentapi.EnsureResponse, error) {
+	names := []string{req.Model}
+	if req.Adapter != "" {
+		names = append(names, req.Model+"/"+req.Adapter)
+	}
+	if reason, ok := a.canHold(req.Model); !ok {
+		return agentapi.EnsureResponse{Reason: reason}, nil
+	}
+	a.want(names, req.Background)
+	if req.Background {
+		return agentapi.EnsureResponse{Loaded: a.holds(req.Model, req.Adapter)}, nil
+	}
+	defer a.unwant(names)
+	t := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
+	defer t.Stop()
+	for {
+		a.mu.Lock()
+		loaded := a.known && a.report.Holdings.HasAdapter(req.Model, req.Adapter)
+		changed := a.changed
+		a.mu.Unlock()
+		if loaded {
+			return agentapi.EnsureResponse{Loaded: true}, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return agentapi.EnsureResponse{Reason: "the caller went away"}, nil
+		case <-t.C:
+			return agentapi.EnsureResponse{Reason: "the model was not loaded in time"}, nil
+		}
+	}
+}
+
+func (a *Agent) canHold(model string) (string, bool) {
+	spec := a.engineSpec()
+	if spec == nil {
+		return "the agent knows no configuration", false
+	}
+	m, ok := spec.Models[model]
+	if !ok || m.WeightsMB > spec.WeightsMB {
+		return "the engine cannot hold the model", false
+	}
+	return "", true
+}
+
+func (a *Agent) holds(model, adapter string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.known && a.report.Holdings.HasAdapter(model, adapter)
+}
+
+func (a *Agent) want(names []string, background bool) {
+	now := time.Now()
+	a.mu.Lock()
+	for _, n := range names {
+		a.wants.add(n, background, now)
+		if model, _, isAdapter := strings.Cut(n, "/"); !isAdapter {
+			// A request is on its way to the model, so it must not be displaced.
+			a.demand.lastUsed[model] = now
+		}
+	}
+	a.mu.Unlock()
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (a *Agent) unwant(names []string) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, n := range names {
+		a.wants.done(n, now)
+	}
+}
--- /dev/null
+++ b/internal/entrylink/messages.go
@@ -0,0 +1,31 @@
+package entrylink
+
+import "github.com/jacinthbend/jacinthbend/internal/topic"
+
+const (
+	pathBorrow = "/v1/entry/borrow"
+	pathTopic  = "/v1/entry/topic"
+)
+
+// borrowRequest asks for tokens of a team.
+type borrowRequest struct {
+	From   string  `json:"from"`
+	Team   string  `json:"team"`
+	Tokens float64 `json:"tokens"`
+}
+
+// borrowResponse has the tokens that the lender took off its own balance.
+type borrowResponse struct {
+	Tokens float64 `json:"tokens"`
+}
+
+// topicRequest asks for the records of a topic.
+type topicRequest struct {
+	Topic topic.Name `json:"topic"`
+}
+
+// topicResponse has the records, unless the instance knows none.
+type topicResponse struct {
+	Known bool       `json:"known"`
+	Page  topic.Page `json:"page"`
+}
--- /dev/null
+++ b/internal/entrylink/server.go
@@ -0,0 +1,31 @@
+package entrylink
+
+import (
+	"context"
+
+	"github.com/cloudwego/hertz/pkg/route"
+
+	"github.com/jacinthbend/jacinthbend/internal/peer"
+	"github.com/jacinthbend/jacinthbend/internal/topic"
+)
+
+// Lender gives up tokens of a team.
+type Lender interface {
+	Lend(team string, tokens float64) float64
+}
+
+// Records hands out what an instance knows of a topic.
+type Records interface {
+	Snapshot(t topic.Name) (topic.Page, bool)
+}
+
+// Register serves the calls of other entry instances.
+func Register(r *route.Engine, lender Lender, records Records) {
+	peer.Handle(r, pathBorrow, func(_ context.Context, req borrowRequest) (borrowResponse, error) {
+		return borrowResponse{Tokens: lender.Lend(req.Team, req.Tokens)}, nil
+	})
+	peer.Handle(r, pathTopic, func(_ context.Context, req topicRequest) (topicResponse, error) {
+		page, ok := records.Snapshot(req.Topic)
+		return topicResponse{Known: ok, Page: page}, nil
+	})
+}
--- /dev/null
+++ b/internal/gateway/options.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"github.com/jacinthbend/jacinthbend/internal/agentapi"
+	"github.com/jacinthbend/jacinthbend/internal/exchange"
+	"github.com/jacinthbend/jacinthbend/internal/fleet"
+	"github.com/jacinthbend/jacinthbend/internal/lifecycle"
+	"github.com/jacinthbend/jacinthbend/internal/retrybudget"
+	"github.com/jacinthbend/jacinthbend/internal/tokenquota"
+	"github.com/jacinthbend/jacinthbend/internal/upstream"
+)
+
+// Loader asks agents to load models.
+type Loader interface {
+	Ensure(ctx context.Context, agentAddr string, req agentapi.EnsureRequest) (agentapi.EnsureResponse, error)
+}
+
+// Options are the parts of a gateway.
+type Options struct {
+	Dialect    Dialect
+	Pool       *upstream.Pool
+	Exchange   *exchange.Client
+	Quota      *tokenquota.Bank
+	Repeats    *retrybudget.Budget
+	Loader     Loader
+	Machine    *lifecycle.Machine
+	DataCentre string
+	Logger     *zap.Logger
+	Stats      *Stats
+}
+
+// Gateway serves callers. It is safe for concurrent use.
+type Gateway struct {
+	Options
+	tables tables
+	// closed is set when a draining instance takes no further requests.
+	closed atomic.Bool
+}
+
+// New returns a gateway that refuses everything until Update is called.
+func New(o Options) *Gateway { return &Gateway{Options: o} }
+
+// Update takes over a new view.
+func (g *Gateway) Update(v *fleet.View) {
+	entries := v.Entries()
+	g.tables.update(v.Config)
+	g.Pool.Update(v)
+	g.Quota.Configure(v.Config, entries)
+	g.Repeats.SetEntries(entries)
+}
+
+// Knows reports whether a configuration is in force.
+func (g *Gateway) Knows() bool { return g.tables.load() != nil }
+
+// Close makes a draining instance refuse requests that still reach it.
+func (g *Gateway) Close() { g.closed.Store(true) }
--- /dev/null
+++ b/internal/gateway/serve.go
@@ -0,0 +1,174 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"go.uber.org/zap"
+
+	"github.com/jacinthbend/jacinthbend/internal/errkind"
+	"github.com/jacinthbend/jacinthbend/internal/fleet"
+	"github.com/jacinthbend/jacinthbend/internal/lifecycle"
+	"github.com/jacinthbend/jacinthbend/internal/routetable"
+	"github.com/jacinthbend/jacinthbend/internal/upstream"
+)
+
+// defaultWait bounds a request that names no deadline, on a route without one.
+const defaultWait = 30 * time.Second
+
+// Serve handles one request of a caller.
+func (g *Gateway) Serve(ctx context.Context, c *app.RequestContext) {
+	x := &call{g: g, c: c, start: time.Now(), caller: ctx, sink: sink{c: c}}
+	x.read()
+	if g.Machine.State() != lifecycle.Serving {
+		c.SetConnectionClose()
+	}
+	if !g.Machine.Begin() && !g.acceptsLate() {
+		x.refuse(errkind.New(errkind.Draining, "the instance is shutting down"))
+	} else {
+		defer g.Machine.End()
+		x.handle()
+	}
+	x.log()
+}
+
+// acceptsLate counts a request in that reached a draining instance. Callers
+// are sent elsewhere only after some seconds; until then it is served.
+func (g *Gateway) acceptsLate() bool { return !g.closed.Load() && g.Machine.BeginDraining() }
+
+// read copies what is needed of the request, whose buffers are used again.
+func (x *call) read() {
+	r := &x.c.Request
+	x.method = string(r.Header.Method())
+	x.uri = string(r.Header.RequestURI())
+	x.host = string(r.Header.Host())
+	x.header = make(http.Header, r.Header.Len())
+	r.Header.VisitAll(func(k, v []byte) { x.header.Add(string(k), string(v)) })
+	x.body = bytes.Clone(r.Body())
+}
+
+func (x *call) handle() {
+	table := x.g.tables.load()
+	if table == nil {
+		x.refuse(errkind.New(errkind.ViewStale, "no configuration is known yet"))
+		return
+	}
+	if err := x.admit(table); err != nil {
+		x.refuse(err)
+		return
+	}
+	x.deadline = x.start.Add(x.wait())
+	ctx, cancel := context.WithDeadline(x.caller, x.deadline)
+	defer cancel()
+	if err := x.charge(ctx); err != nil {
+		x.refuse(err)
+		return
+	}
+	x.g.Repeats.Request(x.query.Service)
+	x.g.Pool.Asked(&x.query)
+	x.run(ctx)
+	if x.ran == 0 && x.tokens > 0 {
+		x.g.Quota.Add(x.team.Name, x.tokens)
+	}
+}
+
+// wait is how long the request may take: what the caller waits, at most the
+// route's timeout.
+func (x *call) wait() time.Duration {
+	wait := x.route.Timeout
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	if x.attrs.Wait > 0 {
+		wait = min(wait, x.attrs.Wait)
+	}
+	return wait
+}
+
+// admit checks what can be told from the request and the configuration alone.
+func (x *call) admit(t *routetable.Table) *errkind.Error {
+	limits := t.Config.Limits
+	if most := limits.MaxHeaderBytes; most > 0 && len(x.c.Request.Header.RawHeaders()) > most {
+		return errkind.New(errkind.HeadersTooLarge, "the headers are larger than the operators allow")
+	}
+	if most := limits.MaxBodyBytes; most > 0 && len(x.body) > most {
+		return errkind.New(errkind.BodyTooLarge, "the body is larger than the operators allow")
+	}
+	path, _, _ := bytes.Cut([]byte(x.uri), []byte("?"))
+	x.route = t.Match(x.host, string(path))
+	if x.route == nil {
+		return errkind.New(errkind.RouteNotFound, "no route matches the host and path")
+	}
+	var err error
+	if x.attrs, err = x.g.Dialect.Attributes(x.header); err != nil {
+		return errkind.Wrap(errkind.InvalidRequest, err.Error(), err)
+	}
+	if t.NeedsKey(x.route) {
+		team, ok := t.Team(x.attrs.Key)
+		if !ok {
+			return errkind.New(errkind.Unauthenticated, "the key is missing or unknown")
+		}
+		x.team = team
+	}
+	x.query = upstream.Query{
+		Service: target(x.route, x.attrs.RequestID), Model: x.attrs.Model, Adapter: x.attrs.Adapter,
+		Prompt: x.attrs.Prompt, TokensIn: x.attrs.TokensIn, Objective: x.route.Objective,
+		DataCentre: x.g.DataCentre, Tried: make(map[string]bool),
+	}
+	return nil
+}
+
+// charge takes the request's tokens from the team's quota.
+func (x *call) charge(ctx context.Context) *errkind.Error {
+	if x.team == nil || x.team.Rate <= 0 {
+		return nil
+	}
+	tokens := cost(x.team, &x.attrs)
+	ok, wait := x.g.Quota.Take(ctx, x.team.Name, tokens)
+	if !ok {
+		return errkind.New(errkind.OverRate, "the team's rate is used up").After(wait)
+	}
+	x.tokens = tokens
+	return nil
+}
+
+// cost is what a request counts against its team's quota.
+func cost(t *fleet.Team, a *fleet.Attributes) float64 {
+	switch {
+	case t.CountsRequests:
+		return 1
+	case a.HasTokens:
+		return float64(a.TokensIn + a.TokensOut)
+	default:
+		return t.PlainTokens
+	}
+}
+
+func (x *call) log() {
+	took := time.Since(x.start)
+	x.g.Stats.requests.Update(took.Seconds())
+	x.g.Stats.answered(x.status, string(x.kind))
+	fields := []zap.Field{
+		zap.String("request", x.attrs.RequestID), zap.Int("status", x.status), zap.Duration("took", took),
+	}
+	if x.route != nil {
+		fields = append(fields, zap.String("route", x.route.Name))
+	}
+	if x.team != nil {
+		fields = append(fields, zap.String("team", x.team.Name))
+	}
+	if x.query.Model != "" {
+		fields = append(fields, zap.String("model", x.query.Name()))
+	}
+	if len(x.upstreams) > 0 {
+		fields = append(fields, zap.Strings("upstreams", x.upstreams), zap.Int("ran", x.ran), zap.Int("events", x.events.Events))
+	}
+	if x.kind == "" {
+		x.g.Logger.Info("request served", fields...)
+		return
+	}
+	x.g.Logger.Warn("request not served", append(fields, zap.String("kind", string(x.kind)), zap.String("reason", x.reason))...)
+}
--- /dev/null
+++ b/internal/gateway/stats.go
@@ -0,0 +1,30 @@
+package gateway
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Stats are the counters and histograms of a gateway.
+type Stats struct {
+	set                 *metrics.Set
+	requests, firstByte *metrics.Histogram
+}
+
+// NewStats registers the metrics in set.
+func NewStats(set *metrics.Set) *Stats {
+	return &Stats{
+		set:       set,
+		requests:  set.NewHistogram("jacinthbend_gateway_request_seconds"),
+		firstByte: set.NewHistogram("jacinthbend_gateway_first_byte_seconds"),
+	}
+}
+
+func (s *Stats) answered(status int, kind string) {
+	s.set.GetOrCreateCounter(fmt.Sprintf("jacinthbend_gateway_answers_total{status=\"%d\",kind=%q}", status, kind)).Inc()
+}
+
+func (s *Stats) attempt(outcome string) {
+	s.set.GetOrCreateCounter(fmt.Sprintf("jacinthbend_gateway_attempts_total{outcome=%q}", outcome)).Inc()
+}
--- a/internal/lifecycle/machine.go
+++ b/internal/lifecycle/machine.go
@@ -73,6 +73,17 @@
 	return false
 }
 
+// BeginDraining counts a request in that reached a draining process; false
+// means that the process has not begun or has stopped.
+func (m *Machine) BeginDraining() bool {
+	m.running.Add(1)
+	if m.State() == Draining {
+		return true
+	}
+	m.running.Add(-1)
+	return false
+}
+
 // End counts a request out.
 func (m *Machine) End() { m.running.Add(-1) }
 
--- /dev/null
+++ b/internal/managed/agent.go
@@ -0,0 +1,60 @@
+package managed
+
+import (
+	"context"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"github.com/jacinthbend/jacinthbend/internal/engineagent"
+	"github.com/jacinthbend/jacinthbend/internal/fleet"
+	"github.com/jacinthbend/jacinthbend/internal/peer"
+	"github.com/jacinthbend/jacinthbend/internal/settings"
+	"github.com/jacinthbend/jacinthbend/internal/topic"
+	"github.com/jacinthbend/jacinthbend/platform"
+)
+
+// RunAgent runs the agent beside an engine until ctx ends.
+func RunAgent(ctx context.Context, s settings.Managed, logger *zap.Logger) error {
+	store, err := platform.NewStore(s.StoreAddr)
+	if err != nil {
+		return err
+	}
+	engine, err := platform.NewEngine(s.UpstreamAddr)
+	if err != nil {
+		return err
+	}
+	follower := topic.NewFollower(topic.Options{Source: store, Decoder: platform.Decoder{}, Logger: logger, Patient: true})
+	agent := engineagent.New(engineagent.Options{
+		Name: s.Instance, Service: s.Service, Engine: engine, Logger: logger, Fresh: s.FirstStart,
+		Config: func() *fleet.Config {
+			if v := follower.View(); v != nil {
+				return v.Config
+			}
+			return nil
+		},
+		Store: engineagent.StoreBounds{Window: s.LoadWindow(), Over: s.Bounds.LoadOver},
+	})
+	peers, err := listen("peers", s.PeerAddr(), peer.ServerOptions{MaxBodyBytes: peerMaxBody})
+	if err != nil {
+		return err
+	}
+	agent.Register(peers.Engine)
+	ops, err := operators(s.OperatorAddr(), metrics.NewSet(), func() (bool, string) { return true, "" })
+	if err != nil {
+		return err
+	}
+	serve(peers, ops)
+	go follower.Run(ctx, topic.Operators)
+	go func() {
+		// The offset of the announcement is the fence of this agent's orders: it
+		// rises over restarts, replaced machines and clocks that jump.
+		agent.SetFence(1 + announce(ctx, store, fleet.Member{
+			Name: s.Instance, Role: fleet.RoleAgent, DataCentre: s.DataCentre, Addr: s.PeerAddr(), UpstreamAddr: s.UpstreamAddr,
+		}, logger))
+	}()
+	logger.Info("started", zap.String("role", "agent"), zap.String("upstream_addr", s.UpstreamAddr))
+	agent.Run(ctx)
+	logger.Info("stopped")
+	return nil
+}
--- /dev/null
+++ b/internal/managed/drain.go
@@ -0,0 +1,43 @@
+package managed
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Timing of a planned stop.
+const (
+	// lateRequests is how long requests are served that still reach a draining
+	// instance: the platform asks once a second and needs two misses.
+	lateRequests = 2800 * time.Millisecond
+	// exitMargin is kept from the end of the grace period.
+	exitMargin = 500 * time.Millisecond
+	drainPoll  = 20 * time.Millisecond
+)
+
+// drain answers the requests that have come or still come, and returns when
+// none runs or the grace period is nearly over (H14).
+func (e *entry) drain() error {
+	start := time.Now()
+	e.logger.Info("draining", zap.Int64("running", e.machine.Running()))
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := e.machine.Drain(over); err != nil {
+		return err
+	}
+	end := start.Add(e.settings.Grace() - exitMargin)
+	late := start.Add(lateRequests)
+	for time.Now().Before(end) {
+		if time.Now().After(late) {
+			e.gateway.Close()
+			if e.machine.Running() == 0 {
+				break
+			}
+		}
+		time.Sleep(drainPoll)
+	}
+	e.logger.Info("stopped", zap.Int64("cut", e.machine.Running()), zap.Duration("took", time.Since(start)))
+	return e.machine.Stop()
+}
--- /dev/null
+++ b/internal/managed/listeners.go
@@ -0,0 +1,58 @@
+package managed
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/pkg/errors"
+
+	"github.com/jacinthbend/jacinthbend/internal/peer"
+	"github.com/jacinthbend/jacinthbend/internal/telemetry"
+)
+
+// Bounds of the listeners.
+const (
+	callerMaxBody = 16 << 20
+	peerMaxBody   = 4 << 20
+	// writeTimeout ends an answer to a peer that stopped reading.
+	writeTimeout = 20 * time.Second
+)
+
+func listen(name, addr string, o peer.ServerOptions) (*server.Hertz, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for %s", name)
+	}
+	o.WriteTimeout = writeTimeout
+	return peer.NewServer(ln, o), nil
+}
+
+// serve runs the servers in the background until the process ends.
+func serve(servers ...*server.Hertz) {
+	for _, s := range servers {
+		go func() { _ = s.Run() }()
+	}
+}
+
+// operators serves metrics and health at addr.
+func operators(addr string, set *metrics.Set, ready func() (bool, string)) (*server.Hertz, error) {
+	h, err := listen("operators", addr, peer.ServerOptions{MaxBodyBytes: peerMaxBody})
+	if err != nil {
+		return nil, err
+	}
+	telemetry.Register(h.Engine, set, ready)
+	return h, nil
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/placement/input.go
@@ -0,0 +1,43 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/jacinthbend/jacinthbend/internal/fleet"
+)
+
+// Input is what the decision depends on.
+type Input struct {
+	Now      time.Time
+	Engine   *fleet.Engine
+	Holdings *fleet.Holdings
+	// Wants are the models that are asked for, in the order of asking.
+	Wants []Want
+	// Use is what is known of the models that are loaded.
+	Use map[string]Use
+	// StoreAllowed tells whether a load from the weight store may begin now.
+	StoreAllowed bool
+}
+
+// Want is a model that is asked for.
+type Want struct {
+	Model string
+	// Since is when it was asked for first.
+	Since time.Time
+	// Waiting is how many requests wait; 0 is a wish for the background.
+	Waiting int
+}
+
+// Use is what entry instances say of a model at this engine.
+type Use struct {
+	// Asked is a decayed count of requests for the model at all engines.
+	Asked float64
+	// InFlight is how many requests run here now.
+	InFlight int
+	// Copies is how many engines hold it, this one included.
+	Copies int
+	// LastUsed is when a request was last sent here.
+	LastUsed time.Time
+	// LoadedAt is when this agent saw the model first.
+	LoadedAt time.Time
+}
--- /dev/null
+++ b/internal/retrybudget/budget_test.go
@@ -0,0 +1,49 @@
+package retrybudget
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestShares guards against repeats of several instances that together exceed
+// the bound of the service.
+func TestShares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		bounds := Bounds{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+		total := 0
+		for range 4 {
+			b := New(bounds)
+			b.SetEntries(4)
+			for range 30 {
+				b.Request("s")
+			}
+			for range 200 {
+				if b.Repeat("s") {
+					total++
+				}
+			}
+		}
+		check.True(float64(total) <= bounds.Ratio*120+bounds.Slack)
+		check.True(total > 40) // most of the bound can be used
+	})
+}
+
+// TestWindow guards against repeats that are counted after their window, and
+// against a budget of one service that another one spends.
+func TestWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		b := New(Bounds{Slack: 5, Window: time.Second})
+		for range 4 {
+			check.True(b.Repeat("a"))
+		}
+		check.True(!b.Repeat("a"))
+		check.True(b.Repeat("b"))
+		time.Sleep(1001 * time.Millisecond)
+		check.True(b.Repeat("a"))
+	})
+}
--- /dev/null
+++ b/internal/settings/managed.go
@@ -0,0 +1,122 @@
+package settings
+
+import (
+	"fmt"
+	"time"
+)
+
+// Managed are the settings of a process on a platform that starts it, gives it
+// its addresses and keeps all state. An entry instance has CallerAddr and
+// ReadyAddr, an agent UpstreamAddr and Service.
+type Managed struct {
+	// Instance is the platform's name of this machine.
+	Instance string `json:"instance"`
+	// DataCentre is the data centre that this machine is in.
+	DataCentre string `json:"data_centre"`
+	// BindIP is the address of this machine.
+	BindIP string `json:"bind_ip"`
+	// PortRange are the first and the last port for links between processes.
+	PortRange [2]int `json:"port_range"`
+	// CallerAddr is where callers reach an entry instance, IP:port.
+	CallerAddr string `json:"caller_addr,omitempty"`
+	// ReadyAddr is where the platform asks whether it is ready, IP:port.
+	ReadyAddr string `json:"ready_addr,omitempty"`
+	// UpstreamAddr is the engine beside an agent, IP:port.
+	UpstreamAddr string `json:"upstream_addr,omitempty"`
+	// Service is the service of that engine.
+	Service string `json:"service,omitempty"`
+	// StoreAddr is the platform's metadata store, IP:port.
+	StoreAddr string `json:"store_addr"`
+	// FirstStart is set when the whole system starts for the first time.
+	FirstStart bool `json:"first_start"`
+	// MemoryMB is the limit above which the process is killed, in MB.
+	MemoryMB int `json:"memory_mb"`
+	// LogLevel is debug, info, warn or error. Default info.
+	LogLevel string        `json:"log_level,omitempty"`
+	Bounds   ManagedBounds `json:"bounds"`
+}
+
+// ManagedBounds are the platform's bounds.
+type ManagedBounds struct {
+	// GraceS is the time between SIGTERM and SIGKILL, in seconds.
+	GraceS float64 `json:"grace_s"`
+	// RetryRatio, RetryWindowS and RetrySlack bound repeated arrivals at a service.
+	RetryRatio   float64 `json:"retry_ratio"`
+	RetryWindowS float64 `json:"retry_window_s"`
+	RetrySlack   float64 `json:"retry_slack"`
+	// QuotaOver and QuotaSlack are the tolerances of a team's rate.
+	QuotaOver  float64 `json:"quota_over"`
+	QuotaSlack float64 `json:"quota_slack"`
+	// ColdOver and ColdSlack bound the requests to a cold upstream.
+	ColdOver  float64 `json:"cold_over"`
+	ColdSlack float64 `json:"cold_slack"`
+	// LoadWindowS and LoadOver bound the loads from the weight store.
+	LoadWindowS float64 `json:"load_window_s"`
+	LoadOver    float64 `json:"load_over"`
+}
+
+// LoadManaged reads the file at path, applies override and checks the result.
+func LoadManaged(path string, override func(*Managed)) (Managed, error) {
+	var s Managed
+	err := load(path, &s, override)
+	return s, err
+}
+
+// Validate returns every problem of s as Problems, or nil.
+func (s *Managed) Validate() error {
+	c := &checker{}
+	c.required("instance", s.Instance)
+	c.required("data_centre", s.DataCentre)
+	c.address("bind_ip", s.PeerAddr())
+	c.address("store_addr", s.StoreAddr)
+	for field, addr := range map[string]string{"caller_addr": s.CallerAddr, "ready_addr": s.ReadyAddr, "upstream_addr": s.UpstreamAddr} {
+		if addr != "" {
+			c.address(field, addr)
+		}
+	}
+	const highestPort = 65535
+	c.within("port_range[0]", s.PortRange[0], 1, highestPort)
+	c.within("port_range[1]", s.PortRange[1], s.PortRange[0]+1, highestPort)
+	for field, v := range map[string]float64{
+		"bounds.grace_s": s.Bounds.GraceS, "bounds.retry_window_s": s.Bounds.RetryWindowS, "bounds.load_window_s": s.Bounds.LoadWindowS,
+	} {
+		if v <= 0 {
+			c.add(field, fmt.Sprint(v), "must be above 0")
+		}
+	}
+	return c.problems.asError()
+}
+
+func (s *Managed) setDefaults() {
+	if s.LogLevel == "" {
+		s.LogLevel = defaultLogLevel
+	}
+}
+
+// PeerAddr is where other processes of the system reach this one. An agent
+// uses the second port of the range, since an entry instance may share its machine.
+func (s *Managed) PeerAddr() string { return fmt.Sprintf("%s:%d", s.BindIP, s.PortRange[0]+s.offset()) }
+
+// OperatorAddr serves metrics and health.
+func (s *Managed) OperatorAddr() string {
+	const operators = 2
+	return fmt.Sprintf("%s:%d", s.BindIP, s.PortRange[0]+operators+s.offset())
+}
+
+func (s *Managed) offset() int {
+	if s.UpstreamAddr != "" {
+		return 1
+	}
+	return 0
+}
+
+// Grace is the time between SIGTERM and SIGKILL.
+func (s *Managed) Grace() time.Duration { return secondsOf(s.Bounds.GraceS) }
+
+func secondsOf(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
+
+// RetryWindow is the window of the bound on repeated arrivals.
+func (s *Managed) RetryWindow() time.Duration { return secondsOf(s.Bounds.RetryWindowS) }
+
+// LoadWindow is the window of the bound on loads from the weight store.
+func (s *Managed) LoadWindow() time.Duration { return secondsOf(s.Bounds.LoadWindowS) }
--- /dev/null
+++ b/internal/upstream/choice.go
@@ -0,0 +1,32 @@
+package upstream
+
+import (
+	"time"
+
+	"github.com/jacinthbend/jacinthbend/internal/fleet"
+)
+
+// Choice is the upstream of an attempt.
+type Choice struct {
+	Upstream *fleet.Upstream
+	// AgentAddr is the agent beside it, or empty.
+	AgentAddr string
+	// Load tells that the model or adapter has to be loaded first.
+	Load bool
+	// LoadTime is the estimate for that.
+	LoadTime time.Duration
+	// Delay is the estimated time to the first token once it is loaded.
+	Delay time.Duration
+	// Uncached is how many tokens of the prompt the upstream must read.
+	Uncached int
+	// Replica is another upstream worth loading the model at, or nil.
+	Replica *Choice
+}
+
+// Shortage tells why no upstream can be chosen.
+type Shortage struct {
+	// Reason is a short text for logs and the answer.
+	Reason string
+	// After is when one may be available; 0 is unknown.
+	After time.Duration
+}
--- /dev/null
+++ b/internal/upstream/pick.go
@@ -0,0 +1,178 @@
+package upstream
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/jacinthbend/jacinthbend/internal/fleet"
+)
+
+// candidate is a usable upstream with what the choice needs to know of it.
+type candidate struct {
+	state    *state
+	holds    bool
+	adapter  bool
+	uncached int
+	delay    time.Duration
+	rank     uint64
+}
+
+// Pick chooses an upstream for q.
+func (p *Pool) Pick(q *Query) (*Choice, Shortage) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.view == nil {
+		return nil, Shortage{Reason: "no configuration is known"}
+	}
+	candidates, wait := p.candidates(q, now)
+	if len(candidates) == 0 {
+		if wait > 0 {
+			return nil, Shortage{Reason: "upstreams are cold", After: wait}
+		}
+		return nil, Shortage{Reason: "no upstream of the service can be used"}
+	}
+	if q.Model == "" {
+		best := slices.MinFunc(candidates, byDelay)
+		return best.choice(), Shortage{}
+	}
+	return p.pickEngine(q, candidates, now)
+}
+
+func (p *Pool) candidates(q *Query, now time.Time) ([]candidate, time.Duration) {
+	var out []candidate
+	var shortest time.Duration
+	var hashes []uint64
+	if q.Model != "" {
+		hashes = chain(q.Name(), q.Prompt)
+	}
+	for _, s := range p.states {
+		if s.up.Service != q.Service || q.Tried[s.up.ID] || !p.usable(s, now) {
+			continue
+		}
+		if wait := p.coldWait(s, now); wait > 0 {
+			if shortest == 0 || wait < shortest {
+				shortest = wait
+			}
+			continue
+		}
+		out = append(out, p.candidate(s, q, hashes, now))
+	}
+	return out, shortest
+}
+
+func (p *Pool) candidate(s *state, q *Query, hashes []uint64, now time.Time) candidate {
+	c := candidate{state: s, rank: rendezvous(q.Model, s.up.ID)}
+	l := s.load(now, p.dataCentre)
+	if q.Model == "" {
+		c.delay = plainDelay(l, s.up.Capacity)
+		return c
+	}
+	h := s.holdings(now)
+	c.holds, c.adapter = h.HasModel(q.Model), h.HasAdapter(q.Model, q.Adapter)
+	c.uncached = max(0, q.TokensIn-s.prefixes.cached(hashes, q.Prompt))
+	c.delay = engineDelay(l, c.uncached)
+	if c.holds && !c.adapter {
+		c.delay += time.Duration(adapterMS * float64(time.Millisecond))
+	}
+	return c
+}
+
+func byDelay(a, b candidate) int {
+	return cmp.Or(cmp.Compare(a.delay, b.delay), cmp.Compare(a.rank, b.rank))
+}
+
+// replicaDelay is the share of the objective above which another copy of a
+// model is worth its load.
+const replicaDelay = 0.4
+
+// pickEngine prefers an engine that holds the model. Where none does, or all
+// that do are slow, it names the engine at which a load is ready first.
+func (p *Pool) pickEngine(q *Query, candidates []candidate, now time.Time) (*Choice, Shortage) {
+	var holding, other []candidate
+	for _, c := range candidates {
+		if c.holds {
+			holding = append(holding, c)
+		} else if c.state.agentAddr != "" {
+			other = append(other, c)
+		}
+	}
+	if len(holding) > 0 {
+		best := slices.MinFunc(holding, byDelay)
+		choice := best.choice()
+		choice.Load = !best.adapter
+		if float64(best.delay) > replicaDelay*float64(q.Objective) {
+			choice.Replica = p.fastestLoad(q, other, now)
+		}
+		return choice, Shortage{}
+	}
+	if choice := p.fastestLoad(q, other, now); choice != nil {
+		return choice, Shortage{}
+	}
+	return nil, Shortage{Reason: "no engine can load the model"}
+}
+
+// Estimates for loads that queue at one engine.
+const (
+	// orderAhead is what an order that is carried out or wanted before adds.
+	orderAhead = 900 * time.Millisecond
+	// displace is the unload of another model.
+	displace = 150 * time.Millisecond
+)
+
+// fastestLoad returns the engine at which the model is ready first. All entry
+// instances see the same holdings and rank ties alike, so they ask one engine.
+func (p *Pool) fastestLoad(q *Query, candidates []candidate, now time.Time) *Choice {
+	service, ok := p.view.Config.Service(q.Service)
+	if !ok || service.Engine == nil {
+		return nil
+	}
+	model, ok := service.Engine.Models[q.Model]
+	if !ok {
+		return nil
+	}
+	var best *candidate
+	var bestTime time.Duration
+	for i := range candidates {
+		t := loadTime(candidates[i].state, model, now)
+		if best == nil || t < bestTime || t == bestTime && candidates[i].rank < best.rank {
+			best, bestTime = &candidates[i], t
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	choice := best.choice()
+	choice.Load, choice.LoadTime = true, bestTime
+	return choice
+}
+
+// loadTime estimates when an engine has loaded a model.
+func loadTime(s *state, m fleet.Model, now time.Time) time.Duration {
+	h := s.holdings(now)
+	t := m.FromStore
+	if h != nil && slices.Contains(h.InMemory, m.Name) {
+		t = m.FromMemory
+	} else if h != nil && slices.Contains(h.OnDisk, m.Name) {
+		t = m.FromDisk
+	}
+	if !s.agentKnows(now) {
+		return t + displace
+	}
+	if s.agent.Loading == m.Name {
+		return t / 2
+	}
+	ahead := slices.Index(s.agent.Wanted, m.Name)
+	if ahead < 0 {
+		ahead = len(s.agent.Wanted)
+	}
+	if s.agent.Loading != "" {
+		ahead++
+	}
+	return t + displace + time.Duration(ahead)*orderAhead
+}
+
+func (c *candidate) choice() *Choice {
+	return &Choice{Upstream: c.state.up, AgentAddr: c.state.agentAddr, Delay: c.delay, Uncached: c.uncached}
+}
