--- a/internal/agentapi/state.go
+++ b/internal/agentapi/state.go
@@ -20,6 +20,8 @@
 	Holdings *fleet.Holdings `json:"holdings"`
 	// Loading is the model of the order that is being carried out, or empty.
 	Loading string `json:"loading,omitempty"`
+	// LoadingLeftMS is the estimated time until it is done, in ms.
+	LoadingLeftMS int64 `json:"loading_left_ms,omitempty"`
 	// Wanted are the models that wait for a load, first to last.
 	Wanted []string `json:"wanted,omitempty"`
 	// Queued and Running are the upstream's requests of all callers.
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -5,8 +5,7 @@
 	"runtime/debug"
 
 	"github.com/alecthomas/kingpin/v2"
-	"go.uber.org/zap"
-
+	"github.com/jacinthbend/jacinthbend/internal/managed"
 	"github.com/jacinthbend/jacinthbend/internal/settings"
 	"github.com/jacinthbend/jacinthbend/internal/telemetry"
 )
@@ -33,16 +32,20 @@
 // stacks and bytes that the kernel holds.
 const memoryShare = 0.7
 
-func (s *serveCommand) run(ctx context.Context, role func(context.Context, settings.Managed, *zap.Logger) error) error {
-	set, err := settings.LoadManaged(*s.path, func(m *settings.Managed) {
+func (s *serveCommand) load() (settings.Managed, error) {
+	return settings.LoadManaged(*s.path, func(m *settings.Managed) {
 		if *s.logLevel != "" {
 			m.LogLevel = *s.logLevel
 		}
 	})
+}
+
+func (s *serveCommand) run(ctx context.Context, role func(context.Context, *managed.Process) error) error {
+	set, err := s.load()
 	if err != nil {
 		return err
 	}
-	logger, err := telemetry.NewLogger(set.LogLevel, set.Instance, set.DataCentre)
+	logger, level, err := telemetry.NewLeveledLogger(set.LogLevel, set.Instance, set.DataCentre, "stdout")
 	if err != nil {
 		return err
 	}
@@ -51,7 +54,7 @@
 	if set.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryMB) * (1 << 20)))
 	}
-	return role(ctx, set, logger)
+	return role(ctx, &managed.Process{Settings: set, Logger: logger, Level: level, Load: s.load})
 }
 
 func newEntryServe(app *kingpin.Application) *serveCommand {
--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -24,6 +24,10 @@
 	lostPause = 100 * time.Millisecond
 )
 
+// refusedPause is the time after an order that was refused or not answered. An
+// engine counts orders, so a cold one must not be flooded with them.
+const refusedPause = 60 * time.Millisecond
+
 // adaptersInTransit is how many adapters may be on their way to one engine.
 const adaptersInTransit = 4
 
@@ -57,7 +61,11 @@
 	engines int
 	fence   int64
 	loading string
-	store   storeWindow
+	// loadedBy is when the load is expected to end.
+	loadedBy time.Time
+	store    storeWindow
+	// pauseUntil keeps orders back after one that was refused or not answered.
+	pauseUntil time.Time
 }
 
 // New returns an agent that gives no orders until SetFence is called.
@@ -238,12 +246,13 @@
 		return fleet.Order{}, false
 	}
 	o := fleet.Order{Expected: a.report.Sequence, Holder: a.Name, Fence: a.fence, Instance: a.id}
+	// While an order for a model is carried out the engine refuses all others.
+	if a.report.Busy || now.Before(a.pauseUntil) {
+		return o, false
+	}
 	if a.adapterOrder(&o, spec, now) {
 		return o, true
 	}
-	if a.report.Busy {
-		return o, false
-	}
 	in := placement.Input{
 		Now: now, Engine: spec, Holdings: &a.report.Holdings, Use: make(map[string]placement.Use),
 		Wants:        a.wants.list(now, func(name string) bool { return !strings.Contains(name, "/") }),
@@ -264,6 +273,7 @@
 		o.Kind = fleet.OrderUnload
 	case placement.Load:
 		o.Kind = fleet.OrderLoad
+		a.loadedBy = now.Add(duration(spec.Models[o.Model], &a.report.Holdings))
 		if next.FromStore {
 			a.store.add(now)
 		}
@@ -328,6 +338,7 @@
 	}
 	if err != nil {
 		a.Logger.Warn("order not answered", append(fields, telemetry.Err(err))...)
+		a.pause(refusedPause)
 		return false
 	}
 	a.Logger.Info("order answered", fields...)
@@ -340,6 +351,7 @@
 		return true
 	case fleet.OrderMisdirected:
 		a.id = ""
+		a.pauseUntil = time.Now().Add(refusedPause)
 	case fleet.OrderHolds:
 		// An unload of an adapter takes effect at once with this answer.
 		if o.Adapter != "" && o.Kind == fleet.OrderUnload {
@@ -348,10 +360,29 @@
 			return true
 		}
 	default:
+		a.pauseUntil = time.Now().Add(refusedPause)
 	}
 	return false
 }
 
+func (a *Agent) pause(d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pauseUntil = time.Now().Add(d)
+}
+
+// duration estimates how long a load takes by where the engine has the weights.
+func duration(m fleet.Model, h *fleet.Holdings) time.Duration {
+	switch {
+	case slices.Contains(h.InMemory, m.Name):
+		return m.FromMemory
+	case slices.Contains(h.OnDisk, m.Name):
+		return m.FromDisk
+	default:
+		return m.FromStore
+	}
+}
+
 // accepted notes what an accepted order changes before the next report.
 func (a *Agent) accepted(o fleet.Order) {
 	switch {
@@ -404,6 +435,9 @@
 	}
 	h := a.report.Holdings
 	st.Born, st.Holdings, st.Loading = a.report.Born, &h, a.loading
+	if a.loading != "" {
+		st.LoadingLeftMS = max(0, a.loadedBy.Sub(now).Milliseconds())
+	}
 	st.Queued, st.Running, st.Draining = a.report.Queued, a.report.Running, a.report.Draining
 	for _, w := range a.wants.list(now, func(name string) bool { return !strings.Contains(name, "/") && !h.HasModel(name) }) {
 		st.Wanted = append(st.Wanted, w.Model)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -19,11 +19,10 @@
 const maxWholeBytes = 8 << 20
 
 // attempt sends the request to one upstream and passes its answer on.
-func (x *call) attempt(ctx context.Context, choice *upstream.Choice) next {
+func (x *call) attempt(ctx context.Context, choice *upstream.Choice, ticket *upstream.Ticket) next {
 	id := choice.Upstream.ID
 	x.query.Tried[id] = true
 	x.upstreams = append(x.upstreams, id)
-	ticket := x.g.Pool.Begin(choice, &x.query)
 	resp, err := x.g.Exchange.Do(ctx, choice.Upstream.Addr, &exchange.Request{
 		Method: x.method, URI: x.uri, Host: x.host, Header: x.g.Dialect.ForwardHeader(x.header, x.forward(choice)),
 		Body: x.body, ID: x.attrs.RequestID, OnlyFresh: !x.route.Repeatable(),
@@ -80,12 +79,12 @@
 	}
 	outcome := upstream.Refused
 	if other {
-		outcome = upstream.Unreachable
+		outcome = upstream.Replaced
 	}
 	ticket.End(outcome)
 	x.g.Stats.attempt("refused")
 	x.g.Logger.Info("upstream did not run the request", x.idField(), zap.String("upstream", choice.Upstream.ID),
-		zap.Int("status", resp.Status), zap.String("instance", a.Instance), zap.Int("waiting", a.Waiting))
+		zap.Int("status", resp.Status), zap.String("answered_by", a.Instance), zap.Int("waiting", a.Waiting))
 	return again
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -21,9 +21,10 @@
 	// leastLeft is the time below which no further attempt can succeed: a round
 	// trip and the shortest work.
 	leastLeft = 40 * time.Millisecond
-	// shortWait is how long a request waits here for an upstream that is known
-	// to be usable then; a longer wait is the caller's, told by Retry-After.
-	shortWait = 400 * time.Millisecond
+	// waitShare of the time left is the most that a request waits here for an
+	// upstream that is known to be usable then; a longer wait is the caller's,
+	// told by Retry-After, who honours it up to a third of its time.
+	waitShare = 0.4
 	// unknownRetry is told to callers when nothing better is known.
 	unknownRetry = 500 * time.Millisecond
 )
@@ -59,11 +60,20 @@
 			}
 			continue
 		}
+		ticket, shortage := x.g.Pool.Begin(choice, &x.query)
+		if ticket == nil {
+			if shortage.After > 0 && !x.waitFor(ctx, shortage) {
+				x.giveUp(shortage.Reason, shortage.After)
+				return
+			}
+			continue
+		}
 		if !x.mayArrive() {
+			ticket.End(upstream.Abandoned)
 			x.giveUp("the budget for further attempts is used up", unknownRetry)
 			return
 		}
-		if x.attempt(ctx, choice) == finished {
+		if x.attempt(ctx, choice, ticket) == finished {
 			return
 		}
 		if x.ran >= x.route.Attempts || x.ran > 0 && !x.route.Repeatable() {
@@ -131,7 +141,7 @@
 
 // waitFor waits for an upstream that is usable soon and reports whether to try.
 func (x *call) waitFor(ctx context.Context, s upstream.Shortage) bool {
-	if s.After <= 0 || s.After > shortWait || s.After+leastLeft > x.left() {
+	if s.After <= 0 || s.After > time.Duration(waitShare*float64(x.left())) {
 		return false
 	}
 	t := time.NewTimer(s.After)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -71,7 +71,7 @@
 	x.g.Pool.Asked(&x.query)
 	x.run(ctx)
 	if x.ran == 0 && x.tokens > 0 {
-		x.g.Quota.Add(x.team.Name, x.tokens)
+		x.g.Quota.Refund(x.team.Name, x.tokens)
 	}
 }
 
--- a/internal/managed/agent.go
+++ b/internal/managed/agent.go
@@ -9,13 +9,13 @@
 	"github.com/jacinthbend/jacinthbend/internal/engineagent"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 	"github.com/jacinthbend/jacinthbend/internal/peer"
-	"github.com/jacinthbend/jacinthbend/internal/settings"
 	"github.com/jacinthbend/jacinthbend/internal/topic"
 	"github.com/jacinthbend/jacinthbend/platform"
 )
 
 // RunAgent runs the agent beside an engine until ctx ends.
-func RunAgent(ctx context.Context, s settings.Managed, logger *zap.Logger) error {
+func RunAgent(ctx context.Context, p *Process) error {
+	s, logger := p.Settings, p.Logger
 	store, err := platform.NewStore(s.StoreAddr)
 	if err != nil {
 		return err
@@ -46,6 +46,7 @@
 	}
 	serve(peers, ops)
 	go follower.Run(ctx, topic.Operators)
+	go p.followSettings(ctx, store)
 	go func() {
 		// The offset of the announcement is the fence of this agent's orders: it
 		// rises over restarts, replaced machines and clocks that jump.
--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -41,7 +41,8 @@
 }
 
 // RunEntry runs an entry instance until ctx ends and its requests have ended.
-func RunEntry(ctx context.Context, s settings.Managed, logger *zap.Logger) error {
+func RunEntry(ctx context.Context, p *Process) error {
+	s, logger := p.Settings, p.Logger
 	e := &entry{settings: s, logger: logger, machine: lifecycle.New(), set: metrics.NewSet()}
 	if err := e.assemble(); err != nil {
 		return err
@@ -54,6 +55,7 @@
 	go e.follower.Run(background, topic.Operators, topic.Upstreams, topic.Members)
 	go e.watcher.Run(background)
 	go e.tidy(background)
+	go p.followSettings(background, e.store)
 	go announce(background, e.store, fleet.Member{
 		Name: s.Instance, Role: fleet.RoleEntry, DataCentre: s.DataCentre, Addr: s.PeerAddr(),
 	}, logger)
@@ -82,7 +84,7 @@
 		return a.RequestID, a.KeepAlive
 	})
 	e.pool = upstream.NewPool(s.DataCentre, upstream.Bounds{ColdOver: s.Bounds.ColdOver, ColdSlack: s.Bounds.ColdSlack})
-	e.quota = tokenquota.NewBank(tokenquota.Bounds{Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack}, e.links, s.FirstStart)
+	e.quota = tokenquota.NewBank(tokenquota.Bounds{Window: s.QuotaWindow(), Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack}, e.links, s.FirstStart)
 	e.gateway = gateway.New(gateway.Options{
 		Dialect: dialect, Pool: e.pool, Exchange: e.exchange, Quota: e.quota,
 		Repeats: retrybudget.New(retrybudget.Bounds{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.RetryWindow()}),
--- a/internal/settings/managed.go
+++ b/internal/settings/managed.go
@@ -44,6 +44,8 @@
 	RetryRatio   float64 `json:"retry_ratio"`
 	RetryWindowS float64 `json:"retry_window_s"`
 	RetrySlack   float64 `json:"retry_slack"`
+	// QuotaWindowS is the window over which a team's tokens are counted, in seconds.
+	QuotaWindowS float64 `json:"quota_window_s"`
 	// QuotaOver and QuotaSlack are the tolerances of a team's rate.
 	QuotaOver  float64 `json:"quota_over"`
 	QuotaSlack float64 `json:"quota_slack"`
@@ -79,6 +81,7 @@
 	c.within("port_range[1]", s.PortRange[1], s.PortRange[0]+1, highestPort)
 	for field, v := range map[string]float64{
 		"bounds.grace_s": s.Bounds.GraceS, "bounds.retry_window_s": s.Bounds.RetryWindowS, "bounds.load_window_s": s.Bounds.LoadWindowS,
+		"bounds.quota_window_s": s.Bounds.QuotaWindowS,
 	} {
 		if v <= 0 {
 			c.add(field, fmt.Sprint(v), "must be above 0")
@@ -118,5 +121,8 @@
 // RetryWindow is the window of the bound on repeated arrivals.
 func (s *Managed) RetryWindow() time.Duration { return secondsOf(s.Bounds.RetryWindowS) }
 
+// QuotaWindow is the window over which a team's tokens are counted.
+func (s *Managed) QuotaWindow() time.Duration { return secondsOf(s.Bounds.QuotaWindowS) }
+
 // LoadWindow is the window of the bound on loads from the weight store.
 func (s *Managed) LoadWindow() time.Duration { return secondsOf(s.Bounds.LoadWindowS) }
--- a/internal/telemetry/logger.go
+++ b/internal/telemetry/logger.go
@@ -27,20 +27,28 @@
 // NewLogger returns a JSON logger at level (debug, info, warn or error) whose
 // lines carry the instance and its data centre.
 func NewLogger(level, instance, dataCentre string) (*zap.Logger, error) {
+	logger, _, err := NewLeveledLogger(level, instance, dataCentre, "stderr")
+	return logger, err
+}
+
+// NewLeveledLogger is NewLogger with the output, stdout or stderr, and a level
+// that can be changed.
+func NewLeveledLogger(level, instance, dataCentre, output string) (*zap.Logger, zap.AtomicLevel, error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
-		return nil, errors.Wrap(err, "log level")
+		return nil, zap.AtomicLevel{}, errors.Wrap(err, "log level")
 	}
 	c := zap.NewProductionConfig()
 	c.Level = zap.NewAtomicLevelAt(l)
+	c.OutputPaths = []string{output}
 	c.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	c.DisableStacktrace = true
 	c.Sampling = nil
 	logger, err := c.Build(zap.Fields(zap.String("instance", instance), zap.String("data_centre", dataCentre)))
 	if err != nil {
-		return nil, errors.Wrap(err, "build logger")
+		return nil, zap.AtomicLevel{}, errors.Wrap(err, "build logger")
 	}
 	// hertz logs each closed connection as an error; the roles log what matters of it.
 	hlog.SetOutput(io.Discard)
-	return logger, nil
+	return logger, c.Level, nil
 }
--- /dev/null
+++ b/internal/tokenquota/account.go
@@ -0,0 +1,106 @@
+package tokenquota
+
+import "time"
+
+// loanLife is how long borrowed tokens may be used. A request that borrows
+// waits for the answer and spends at once; the rest is for those after it.
+const loanLife = 700 * time.Millisecond
+
+// account is one instance's part of a team's allowance.
+type account struct {
+	// share is what may be spent in a window, in tokens.
+	share float64
+	// restartedAt is when an instance began that may have spent before, and
+	// restartGrant the part of the share that it may spend at once.
+	restartedAt  time.Time
+	restartGrant float64
+	// spent are what was spent or lent, oldest first; spentSum is their sum.
+	spent    []entry
+	spentSum float64
+	// borrowed are tokens of others with the time at which they lapse.
+	borrowed []entry
+}
+
+// entry is an amount with its time.
+type entry struct {
+	at     time.Time
+	tokens float64
+}
+
+// owed is the part of the share that an earlier start of the instance may have
+// spent in the window before now. It is taken as spent evenly, so it is free
+// again evenly.
+func (a *account) owed(window time.Duration, now time.Time) float64 {
+	left := 1 - now.Sub(a.restartedAt).Seconds()/window.Seconds()
+	if a.restartedAt.IsZero() || left <= 0 {
+		return 0
+	}
+	return a.share * (1 - a.restartGrant) * left
+}
+
+func (a *account) spend(tokens float64, at time.Time) {
+	a.spent = append(a.spent, entry{at, tokens})
+	a.spentSum += tokens
+}
+
+// trim forgets what is older than a window and loans that have lapsed.
+func (a *account) trim(window time.Duration, now time.Time) {
+	i := 0
+	for i < len(a.spent) && now.Sub(a.spent[i].at) > window {
+		a.spentSum -= a.spent[i].tokens
+		i++
+	}
+	a.spent = a.spent[:copy(a.spent, a.spent[i:])]
+	i = 0
+	for i < len(a.borrowed) && !now.Before(a.borrowed[i].at) {
+		i++
+	}
+	a.borrowed = a.borrowed[:copy(a.borrowed, a.borrowed[i:])]
+}
+
+func (a *account) loans() float64 {
+	sum := 0.0
+	for _, b := range a.borrowed {
+		sum += b.tokens
+	}
+	return sum
+}
+
+// free is what may be spent now of the own share.
+func (a *account) free(window time.Duration, now time.Time) float64 {
+	return max(0, a.share-a.owed(window, now)-a.spentSum)
+}
+
+// take spends tokens, borrowed ones first.
+func (a *account) take(tokens float64, window time.Duration, now time.Time) bool {
+	if a.free(window, now)+a.loans() < tokens {
+		return false
+	}
+	for tokens > 0 && len(a.borrowed) > 0 {
+		used := min(tokens, a.borrowed[0].tokens)
+		tokens -= used
+		a.borrowed[0].tokens -= used
+		if a.borrowed[0].tokens <= 0 {
+			a.borrowed = a.borrowed[:copy(a.borrowed, a.borrowed[1:])]
+		}
+	}
+	if tokens > 0 {
+		a.spend(tokens, now)
+	}
+	return true
+}
+
+// wait estimates when tokens of the own share are free if nothing else is spent.
+func (a *account) wait(tokens float64, window time.Duration, now time.Time) time.Duration {
+	free := a.share - a.owed(window, now) - a.spentSum
+	for _, e := range a.spent {
+		if free >= tokens {
+			break
+		}
+		free += e.tokens
+		if free >= tokens {
+			return max(0, window-now.Sub(e.at))
+		}
+	}
+	return window
+}
--- a/internal/tokenquota/bank.go
+++ b/internal/tokenquota/bank.go
@@ -14,25 +14,27 @@
 	Borrow(ctx context.Context, team string, tokens float64) float64
 }
 
-// Bank has an instance's parts of all teams' quotas. It is safe for concurrent use.
+// Bank has an instance's parts of all teams' allowances. It is safe for
+// concurrent use.
 type Bank struct {
 	bounds Bounds
 	lender Lender
-	// full tells that no earlier start of an instance can have spent the burst.
+	// full tells that no earlier start of an instance can have spent anything.
 	full bool
 
-	mu      sync.Mutex
-	buckets map[string]*bucket
-	version int64
-	entries int
+	mu       sync.Mutex
+	accounts map[string]*account
+	version  int64
+	entries  int
 }
 
-// NewBank returns a bank without teams. Where full is not set, balances begin
-// empty, since an earlier start of this instance may have spent them.
+// NewBank returns a bank without teams.
 func NewBank(b Bounds, lender Lender, full bool) *Bank {
-	return &Bank{bounds: b, lender: lender, full: full, buckets: make(map[string]*bucket)}
+	return &Bank{bounds: b, lender: lender, full: full, accounts: make(map[string]*account)}
 }
 
+func (b *Bank) window() time.Duration { return b.bounds.Window + windowMargin }
+
 // Configure takes over the teams and the number of entry instances.
 func (b *Bank) Configure(c *fleet.Config, entries int) {
 	entries = max(1, entries)
@@ -44,27 +46,25 @@
 	}
 	b.version, b.entries = c.Version, entries
 	known := make(map[string]bool, len(c.Teams))
-	n := float64(entries)
 	for _, t := range c.Teams {
 		if t.Rate <= 0 {
 			continue
 		}
 		known[t.Name] = true
-		slack := b.bounds.Slack
-		capacity := (t.Burst + burstUse*slack) / n
-		bk, ok := b.buckets[t.Name]
+		share := b.bounds.allowance(t.Rate, t.Burst) / float64(entries)
+		a, ok := b.accounts[t.Name]
 		if !ok {
-			bk = &bucket{at: now}
-			if b.full {
-				bk.balance = capacity
+			a = &account{share: share}
+			if !b.full {
+				a.restartedAt, a.restartGrant = now, b.bounds.restartGrant(t.Rate, t.Burst)
 			}
-			b.buckets[t.Name] = bk
+			b.accounts[t.Name] = a
 		}
-		bk.set(t.Rate*(1+rateUse*b.bounds.Over)/n, capacity, debtUse*slack/n, now)
+		a.share = share
 	}
-	for name := range b.buckets {
+	for name := range b.accounts {
 		if !known[name] {
-			delete(b.buckets, name)
+			delete(b.accounts, name)
 		}
 	}
 }
@@ -76,45 +76,72 @@
 	if ok || b.lender == nil {
 		return ok, wait
 	}
+	// The life of a loan counts from before it was asked for.
+	lapses := time.Now().Add(loanLife)
 	got := b.lender.Borrow(ctx, team, missing)
 	if got <= 0 {
 		return false, wait
 	}
-	b.Add(team, got)
+	b.borrowed(team, got, lapses)
 	ok, _, wait = b.take(team, tokens)
 	return ok, wait
 }
 
 func (b *Bank) take(team string, tokens float64) (ok bool, missing float64, wait time.Duration) {
+	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	bk, limited := b.buckets[team]
-	if !limited || bk.take(tokens, time.Now()) {
+	a, limited := b.accounts[team]
+	if !limited {
+		return true, 0, 0
+	}
+	a.trim(b.window(), now)
+	if a.take(tokens, b.window(), now) {
 		return true, 0, 0
 	}
-	// Some more than needed saves a call for the next request.
-	return false, tokens - bk.balance + bk.rate/2, bk.wait(tokens)
+	return false, tokens - a.free(b.window(), now) - a.loans(), a.wait(tokens, b.window(), now)
+}
+
+func (b *Bank) borrowed(team string, tokens float64, lapses time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a, ok := b.accounts[team]; ok {
+		a.borrowed = append(a.borrowed, entry{lapses, tokens})
+	}
 }
 
-// Add gives tokens back, or adds borrowed ones.
-func (b *Bank) Add(team string, tokens float64) {
+// Refund gives back the tokens of a request that has not run.
+func (b *Bank) Refund(team string, tokens float64) {
+	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if bk, ok := b.buckets[team]; ok {
-		bk.balance += tokens
+	a, ok := b.accounts[team]
+	if !ok {
+		return
+	}
+	a.trim(b.window(), now)
+	for i := len(a.spent) - 1; i >= 0 && tokens > 0; i-- {
+		back := min(tokens, a.spent[i].tokens)
+		a.spent[i].tokens -= back
+		a.spentSum -= back
+		tokens -= back
 	}
 }
 
 // Lend gives up to tokens of a team to another instance.
 func (b *Bank) Lend(team string, tokens float64) float64 {
+	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	bk, ok := b.buckets[team]
+	a, ok := b.accounts[team]
 	if !ok || tokens <= 0 {
 		return 0
 	}
-	bk.refill(time.Now())
-	given := min(tokens, bk.spare())
-	bk.balance -= given
+	a.trim(b.window(), now)
+	given := min(tokens, a.free(b.window(), now))
+	if given > 0 {
+		// The borrower may spend it until the loan's life ends.
+		a.spend(given, now.Add(loanLife))
+	}
 	return given
 }
--- a/internal/tokenquota/bounds.go
+++ b/internal/tokenquota/bounds.go
@@ -1,21 +1,33 @@
 package tokenquota
 
-// Bounds are the platform's tolerances.
+import "time"
+
+// Bounds are the platform's terms for quotas.
 type Bounds struct {
-	// Over is the share by which rate and burst may be exceeded.
+	// Window is the span over which a team's tokens are counted.
+	Window time.Duration
+	// Over is the share by which the allowance may be exceeded.
 	Over float64
-	// Slack is what may be exceeded beyond that in any window, in tokens, over
-	// all instances.
+	// Slack is what may be exceeded beyond that, in tokens, over all instances.
 	Slack float64
 }
 
-// Parts of the tolerances that are used. The rest covers instances that are
-// not known yet and balances that were lost with their instance and granted anew.
-const (
-	rateUse = 0.6
-	// burstUse of the slack is added to the burst of all instances.
-	burstUse = 0.2
-	// debtUse of the slack is what all balances may fall below zero, so that a
-	// request larger than one balance need not wait.
-	debtUse = 0.35
-)
+// toleranceUse is the part of the tolerances that a restart may use; the rest
+// covers instances that are not known yet.
+const toleranceUse = 0.8
+
+// windowMargin covers the way of a request to its upstream, which is where the
+// platform counts it.
+const windowMargin = 250 * time.Millisecond
+
+// allowance is what a team may spend in a window, over all instances.
+func (b Bounds) allowance(rate, burst float64) float64 {
+	return rate*b.Window.Seconds() + burst
+}
+
+// restartGrant is the part of its share that a restarted instance may spend at
+// once, though an earlier start of it may have spent the whole: the tolerances
+// bear that once in a window.
+func (b Bounds) restartGrant(rate, burst float64) float64 {
+	return min(1, toleranceUse*(b.Over+b.Slack/b.allowance(rate, burst)))
+}
--- a/internal/tokenquota/doc.go
+++ b/internal/tokenquota/doc.go
@@ -1,8 +1,10 @@
 // Package tokenquota keeps teams within their rate and burst over all entry
 // instances together, without an owner of the count (H7).
 //
-// Each instance has an equal part of a team's rate and burst. An instance that
-// runs short asks others for tokens; a lender takes them off its own balance
-// before it answers, so a lost answer loses tokens and never makes any. An
-// instance that is cut off goes on with its own part.
+// A team may spend its rate times a window plus its burst in any window of that
+// length. Each instance has an equal part of this allowance; what it spends is
+// free again a window later. An instance that runs short asks others: a lender
+// counts a loan as spent before it answers, and the borrower uses it within
+// loanLife or not at all. So a lost answer wastes tokens for one window and
+// never makes any, and an instance that is cut off goes on with its own part.
 package tokenquota
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -24,7 +24,9 @@
 
 	view atomic.Pointer[fleet.View]
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// topics are those that are followed.
+	topics []Name
 	states map[Name]*state
 	// decoded caches records by topic and key, since most do not change.
 	decoded map[Name]map[string]decodedItem
@@ -65,8 +67,12 @@
 // View returns the newest view, or nil before a configuration is known.
 func (f *Follower) View() *fleet.View { return f.view.Load() }
 
-// Run follows the topics until ctx ends.
+// Run follows the topics until ctx ends. There is no view before each of them
+// has been listed.
 func (f *Follower) Run(ctx context.Context, topics ...Name) {
+	f.mu.Lock()
+	f.topics = topics
+	f.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, t := range topics {
 		wg.Go(func() { f.follow(ctx, t, f.paceOf(t)) })
@@ -208,6 +214,11 @@
 		}
 	}
 	v.Config = f.config
+	for _, t := range f.topics {
+		if f.states[t].next < 0 {
+			return
+		}
+	}
 	if v.Config == nil {
 		return
 	}
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -17,6 +17,8 @@
 	Unreachable
 	// Broken is a connection that ended, or bytes that are no answer.
 	Broken
+	// Replaced is another start of an upstream at the address.
+	Replaced
 	// Abandoned is an attempt that the caller or a bound ended.
 	Abandoned
 )
@@ -62,6 +64,8 @@
 		h.lost++
 		h.ejectedUntil = now.Add(pause)
 		h.suspectUntil = now.Add(pause + coldAfterReturn)
+	case Replaced:
+		h.ejectedUntil = now.Add(maxEjection)
 	case Abandoned:
 	}
 }
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -74,7 +74,8 @@
 	c.uncached = max(0, q.TokensIn-s.prefixes.cached(hashes, q.Prompt))
 	c.delay = engineDelay(l, c.uncached)
 	if c.holds && !c.adapter {
-		c.delay += time.Duration(adapterMS * float64(time.Millisecond))
+		// An engine that loads a model takes no order for an adapter meanwhile.
+		c.delay += time.Duration(adapterMS*float64(time.Millisecond)) + s.loadingLeft(now)
 	}
 	return c
 }
@@ -115,10 +116,12 @@
 
 // Estimates for loads that queue at one engine.
 const (
-	// orderAhead is what an order that is carried out or wanted before adds.
+	// orderAhead is what a load that is wanted before adds.
 	orderAhead = 900 * time.Millisecond
 	// displace is the unload of another model.
 	displace = 150 * time.Millisecond
+	// silentAgent is what an agent costs that has not been heard of lately.
+	silentAgent = 3 * time.Second
 )
 
 // fastestLoad returns the engine at which the model is ready first. All entry
@@ -158,19 +161,16 @@
 		t = m.FromDisk
 	}
 	if !s.agentKnows(now) {
-		return t + displace
+		return t + displace + silentAgent
 	}
 	if s.agent.Loading == m.Name {
-		return t / 2
+		return s.loadingLeft(now)
 	}
 	ahead := slices.Index(s.agent.Wanted, m.Name)
 	if ahead < 0 {
 		ahead = len(s.agent.Wanted)
 	}
-	if s.agent.Loading != "" {
-		ahead++
-	}
-	return t + displace + time.Duration(ahead)*orderAhead
+	return t + displace + s.loadingLeft(now) + time.Duration(ahead)*orderAhead
 }
 
 func (c *candidate) choice() *Choice {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -154,15 +154,22 @@
 	hashes  []uint64
 }
 
-// Begin counts an attempt in; End must follow.
-func (p *Pool) Begin(c *Choice, q *Query) *Ticket {
+// Begin counts an attempt in; End must follow. Without a ticket the upstream
+// may not get the request now: it is no longer usable, or it is cold and has its
+// share for this moment. The choice may be old, since a load lies between, and
+// all requests that waited for the load come at once.
+func (p *Pool) Begin(c *Choice, q *Query) (*Ticket, Shortage) {
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, ok := p.states[c.Upstream.ID]
-	if !ok {
-		s = newState(c.Upstream)
+	if !ok || !p.usable(s, now) {
+		return nil, Shortage{Reason: "the upstream is no longer usable"}
+	}
+	if wait := p.coldWait(s, now); wait > 0 {
+		return nil, Shortage{Reason: "the upstream is cold", After: wait}
 	}
-	s.sends.add(time.Now())
+	s.sends.add(now)
 	s.inFlight++
 	t := &Ticket{pool: p, state: s, name: q.Name(), pending: c.Uncached}
 	s.pendingTokens += t.pending
@@ -173,7 +180,7 @@
 		t.hashes = chain(t.name, q.Prompt)
 		s.prefixes.add(t.hashes)
 	}
-	return t
+	return t, Shortage{}
 }
 
 // Answered notes the head of the answer: the prompt has been read.
--- a/internal/upstream/state.go
+++ b/internal/upstream/state.go
@@ -80,3 +80,11 @@
 func (s *state) cold(now time.Time) bool {
 	return now.Before(s.coldUntil) || now.Before(s.health.suspectUntil)
 }
+
+// loadingLeft is the estimated time for which the engine takes no orders.
+func (s *state) loadingLeft(now time.Time) time.Duration {
+	if !s.agentKnows(now) || s.agent.Loading == "" {
+		return 0
+	}
+	return max(0, time.Duration(s.agent.LoadingLeftMS)*time.Millisecond-now.Sub(s.agentAt))
+}
