Use the quota tolerances, and checkpoint the spending of busy teams

Change: a busy team's spending goes into the store in steps; a restart assumes the last checkpoint and one step. A calm team costs no call. Ruled out: a larger grant at a restart; TestRestarts breaks the window with it (807,233 tokens, 440,960 allowed, when a second restart forgets the first).

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -127,9 +127,11 @@
 		return nil
 	}
 	tokens := cost(x.team, &x.attrs)
-	ok, wait := x.g.Quota.Take(ctx, x.team.Name, tokens)
-	if !ok {
-		return errkind.New(errkind.OverRate, "the team's rate is used up").After(wait)
+	d := x.g.Quota.Take(ctx, x.team.Name, tokens)
+	if !d.Allowed {
+		x.g.Logger.Info("team over its rate", x.idField(), zap.String("team", x.team.Name), zap.Float64("tokens", tokens),
+			zap.Float64("free", d.Free), zap.Float64("share", d.Share), zap.Float64("borrowed", d.Borrowed), zap.Duration("wait", d.Wait))
+		return errkind.New(errkind.OverRate, "the team's rate is used up").After(d.Wait)
 	}
 	x.tokens = tokens
 	return nil
--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -52,6 +52,8 @@
 	if err := e.listen(); err != nil {
 		return err
 	}
+	e.resumeSpending(ctx)
+	go e.writeSpending(background)
 	go e.follower.Run(background, topic.Operators, topic.Upstreams, topic.Members)
 	go e.watcher.Run(background)
 	go e.tidy(background)
@@ -84,7 +86,7 @@
 		return a.RequestID, a.KeepAlive
 	})
 	e.pool = upstream.NewPool(s.DataCentre, upstream.Bounds{ColdOver: s.Bounds.ColdOver, ColdSlack: s.Bounds.ColdSlack})
-	e.quota = tokenquota.NewBank(tokenquota.Bounds{Window: s.QuotaWindow(), Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack}, e.links, s.FirstStart)
+	e.quota = tokenquota.NewBank(tokenquota.Bounds{Window: s.QuotaWindow(), Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack}, e.links)
 	e.gateway = gateway.New(gateway.Options{
 		Dialect: dialect, Pool: e.pool, Exchange: e.exchange, Quota: e.quota,
 		Repeats: retrybudget.New(retrybudget.Bounds{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.RetryWindow()}),
--- a/internal/tokenquota/account.go
+++ b/internal/tokenquota/account.go
@@ -10,10 +10,12 @@
 type account struct {
 	// share is what may be spent in a window, in tokens.
 	share float64
-	// restartedAt is when an instance began that may have spent before, and
-	// restartGrant the part of the share that it may spend at once.
-	restartedAt  time.Time
-	restartGrant float64
+	// assumed is the part of the share that earlier starts of the instance may
+	// have spent until assumedAt.
+	assumed   float64
+	assumedAt time.Time
+	// sinceCheckpoint was spent after the last checkpoint.
+	sinceCheckpoint float64
 	// spent are what was spent or lent, oldest first; spentSum is their sum.
 	spent    []entry
 	spentSum float64
@@ -27,17 +29,6 @@
 	tokens float64
 }
 
-// owed is the part of the share that an earlier start of the instance may have
-// spent in the window before now. It is taken as spent evenly, so it is free
-// again evenly.
-func (a *account) owed(window time.Duration, now time.Time) float64 {
-	left := 1 - now.Sub(a.restartedAt).Seconds()/window.Seconds()
-	if a.restartedAt.IsZero() || left <= 0 {
-		return 0
-	}
-	return a.share * (1 - a.restartGrant) * left
-}
-
 func (a *account) spend(tokens float64, at time.Time) {
 	a.spent = append(a.spent, entry{at, tokens})
 	a.spentSum += tokens
@@ -68,7 +59,7 @@
 
 // free is what may be spent now of the own share.
 func (a *account) free(window time.Duration, now time.Time) float64 {
-	return max(0, a.share-a.owed(window, now)-a.spentSum)
+	return max(0, a.share-a.assumedNow(window, now)-a.spentSum)
 }
 
 // take spends tokens, borrowed ones first.
@@ -92,7 +83,7 @@
 
 // wait estimates when tokens of the own share are free if nothing else is spent.
 func (a *account) wait(tokens float64, window time.Duration, now time.Time) time.Duration {
-	free := a.share - a.owed(window, now) - a.spentSum
+	free := a.share - a.assumedNow(window, now) - a.spentSum
 	for _, e := range a.spent {
 		if free >= tokens {
 			break
--- a/internal/tokenquota/bank.go
+++ b/internal/tokenquota/bank.go
@@ -19,8 +19,10 @@
 type Bank struct {
 	bounds Bounds
 	lender Lender
-	// full tells that no earlier start of an instance can have spent anything.
-	full bool
+	// start and before are what is known of earlier starts of this instance.
+	start  Start
+	before Checkpoint
+	due    chan struct{}
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -28,9 +30,16 @@
 	entries  int
 }
 
-// NewBank returns a bank without teams.
-func NewBank(b Bounds, lender Lender, full bool) *Bank {
-	return &Bank{bounds: b, lender: lender, full: full, accounts: make(map[string]*account)}
+// NewBank returns a bank without teams, as if nothing had been spent before.
+func NewBank(b Bounds, lender Lender) *Bank {
+	return &Bank{bounds: b, lender: lender, due: make(chan struct{}, 1), accounts: make(map[string]*account)}
+}
+
+// Resume tells what is known of earlier starts, before the first Configure.
+func (b *Bank) Resume(s Start, before Checkpoint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.start, b.before = s, before
 }
 
 func (b *Bank) window() time.Duration { return b.bounds.Window + windowMargin }
@@ -54,10 +63,7 @@
 		share := b.bounds.allowance(t.Rate, t.Burst) / float64(entries)
 		a, ok := b.accounts[t.Name]
 		if !ok {
-			a = &account{share: share}
-			if !b.full {
-				a.restartedAt, a.restartGrant = now, b.bounds.restartGrant(t.Rate, t.Burst)
-			}
+			a = b.opening(t.Name, share, now)
 			b.accounts[t.Name] = a
 		}
 		a.share = share
@@ -69,37 +75,41 @@
 	}
 }
 
-// Take spends tokens of a team. If they are not there it returns false and
-// when they may be.
-func (b *Bank) Take(ctx context.Context, team string, tokens float64) (bool, time.Duration) {
-	ok, missing, wait := b.take(team, tokens)
-	if ok || b.lender == nil {
-		return ok, wait
+// Take spends tokens of a team.
+func (b *Bank) Take(ctx context.Context, team string, tokens float64) Decision {
+	d := b.take(team, tokens)
+	if d.Allowed || b.lender == nil {
+		return d
 	}
 	// The life of a loan counts from before it was asked for.
 	lapses := time.Now().Add(loanLife)
-	got := b.lender.Borrow(ctx, team, missing)
+	got := b.lender.Borrow(ctx, team, tokens-d.Free)
 	if got <= 0 {
-		return false, wait
+		return d
 	}
 	b.borrowed(team, got, lapses)
-	ok, _, wait = b.take(team, tokens)
-	return ok, wait
+	d = b.take(team, tokens)
+	d.Borrowed = got
+	return d
 }
 
-func (b *Bank) take(team string, tokens float64) (ok bool, missing float64, wait time.Duration) {
+func (b *Bank) take(team string, tokens float64) Decision {
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a, limited := b.accounts[team]
 	if !limited {
-		return true, 0, 0
+		return Decision{Allowed: true}
 	}
 	a.trim(b.window(), now)
+	d := Decision{Share: a.share, Free: a.free(b.window(), now) + a.loans()}
 	if a.take(tokens, b.window(), now) {
-		return true, 0, 0
+		d.Allowed = true
+		b.noteSpent(a, tokens, now)
+		return d
 	}
-	return false, tokens - a.free(b.window(), now) - a.loans(), a.wait(tokens, b.window(), now)
+	d.Wait = a.wait(tokens, b.window(), now)
+	return d
 }
 
 func (b *Bank) borrowed(team string, tokens float64, lapses time.Time) {
@@ -142,6 +152,7 @@
 	if given > 0 {
 		// The borrower may spend it until the loan's life ends.
 		a.spend(given, now.Add(loanLife))
+		b.noteSpent(a, given, now)
 	}
 	return given
 }
--- a/internal/tokenquota/bounds.go
+++ b/internal/tokenquota/bounds.go
@@ -12,9 +12,13 @@
 	Slack float64
 }
 
-// toleranceUse is the part of the tolerances that a restart may use; the rest
-// covers instances that are not known yet.
-const toleranceUse = 0.8
+// Parts of the tolerances that are used. Refusing what the platform tolerates
+// serves nobody. The rest covers instances that disagree for a moment on how
+// many they are.
+const (
+	overUse  = 0.8
+	slackUse = 0.7
+)
 
 // windowMargin covers the way of a request to its upstream, which is where the
 // platform counts it.
@@ -22,12 +26,5 @@
 
 // allowance is what a team may spend in a window, over all instances.
 func (b Bounds) allowance(rate, burst float64) float64 {
-	return rate*b.Window.Seconds() + burst
-}
-
-// restartGrant is the part of its share that a restarted instance may spend at
-// once, though an earlier start of it may have spent the whole: the tolerances
-// bear that once in a window.
-func (b Bounds) restartGrant(rate, burst float64) float64 {
-	return min(1, toleranceUse*(b.Over+b.Slack/b.allowance(rate, burst)))
+	return (rate*b.Window.Seconds()+burst)*(1+overUse*b.Over) + slackUse*b.Slack
 }
--- /dev/null
+++ b/internal/tokenquota/decision.go
@@ -0,0 +1,13 @@
+package tokenquota
+
+import "time"
+
+// Decision is the answer to a request for tokens, with what decided it.
+type Decision struct {
+	Allowed bool
+	// Wait is when the tokens may be there.
+	Wait time.Duration
+	// Share is this instance's part of the allowance and Free what was left of it
+	// with loans; Borrowed came from other instances.
+	Share, Free, Borrowed float64
+}
