--- a/internal/eventstream/splitter.go
+++ b/internal/eventstream/splitter.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"strconv"
 
 	"github.com/pkg/errors"
 )
@@ -16,7 +17,8 @@
 	buf []byte
 	// done is the number of bytes at the front of buf that were given out.
 	done int
-	// LastID is the id of the last event that was given out.
+	// LastID is the id of the last event that was given out. A stream that goes on
+	// elsewhere begins with the id of the last event that the caller has.
 	LastID string
 	// Events is how many events were given out.
 	Events int
@@ -33,7 +35,9 @@
 		if i < 0 {
 			break
 		}
-		s.note(s.buf[s.done : s.done+i])
+		if err := s.note(s.buf[s.done : s.done+i]); err != nil {
+			return s.buf[:s.done], err
+		}
 		s.done += i + 2
 	}
 	if len(s.buf)-s.done > maxEventBytes {
@@ -48,11 +52,34 @@
 // Reset drops the incomplete event, before the stream goes on elsewhere.
 func (s *Splitter) Reset() { s.buf, s.done = s.buf[:0], 0 }
 
-func (s *Splitter) note(event []byte) {
-	s.Events++
+// note checks that an event follows the last one. An upstream that begins anew,
+// or answers another request, would otherwise be joined to what the caller has.
+func (s *Splitter) note(event []byte) error {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			s.LastID = string(bytes.TrimSpace(id))
+		id, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
 		}
+		next := string(bytes.TrimSpace(id))
+		if !follows(s.LastID, next) {
+			return errors.Errorf("event %q follows event %q", next, s.LastID)
+		}
+		s.LastID = next
+	}
+	s.Events++
+	return nil
+}
+
+// follows reports whether an event may come after another. Ids that are not
+// numbers are not compared.
+func follows(last, next string) bool {
+	n, err := strconv.ParseInt(next, 10, 64)
+	if err != nil {
+		return true
+	}
+	if last == "" {
+		return n <= 1
 	}
+	l, err := strconv.ParseInt(last, 10, 64)
+	return err != nil || n == l+1
 }
--- a/internal/eventstream/splitter_test.go
+++ b/internal/eventstream/splitter_test.go
@@ -40,3 +40,28 @@
 	_, err = s.Add([]byte("x"))
 	check.True(err != nil)
 }
+
+// TestJoinedRuns guards against events of two runs that are joined: an event
+// that is missing, comes twice, or begins anew.
+func TestJoinedRuns(t *testing.T) {
+	for _, row := range []struct {
+		last, stream, given string
+		bad                 bool
+	}{
+		{"", "id: 1\n\nid: 2\n\n", "id: 1\n\nid: 2\n\n", false},
+		{"", "id: 2\n\n", "", true},
+		{"", "id: 1\n\nid: 3\n\n", "id: 1\n\n", true},
+		{"", "id: 1\n\nid: 1\n\n", "id: 1\n\n", true},
+		{"7", "id: 8\n\n", "id: 8\n\n", false},
+		{"7", "id: 1\n\n", "", true},
+		{"7", "id: 9\n\n", "", true},
+		{"x", "id: y\n\n", "id: y\n\n", false},
+		{"", "data: a\n\n", "data: a\n\n", false},
+	} {
+		check := is.New(t)
+		s := Splitter{LastID: row.last}
+		got, err := s.Add([]byte(row.stream))
+		check.Equal(string(got), row.given)
+		check.Equal(err != nil, row.bad)
+	}
+}
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -64,7 +64,7 @@
 	}
 	resp, err := c.on(ctx, cn, addr, r)
 	if err != nil {
-		_ = cn.Close()
+		cn.abort()
 		return nil, err
 	}
 	return resp, nil
@@ -72,7 +72,7 @@
 
 func (c *Client) on(ctx context.Context, cn *conn, addr string, r *Request) (*Response, error) {
 	// Closing is the only way to end a read at once, and tells the upstream to stop.
-	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	stop := context.AfterFunc(ctx, cn.abort)
 	written := make(chan error, 1)
 	if err := cn.send(r, written); err != nil {
 		stop()
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -55,6 +55,17 @@
 	return err == nil && alive
 }
 
+// abort closes a connection on which a request is not finished, with a reset.
+// Bytes of the request that wait somewhere on the way are dropped then; after an
+// ordinary close they would still reach the upstream, however late.
+func (c *conn) abort() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		// Without the option the close is an ordinary one, which is still right.
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // Socket options of connections to upstreams.
 const (
 	// unackedTimeout ends a connection whose bytes are not acknowledged. Round
--- a/internal/exchange/response.go
+++ b/internal/exchange/response.go
@@ -30,7 +30,11 @@
 		r.client.putIdle(r.addr, r.conn)
 		return
 	}
-	_ = r.conn.Close()
+	if complete {
+		_ = r.conn.Close()
+		return
+	}
+	r.conn.abort()
 }
 
 // wroteAll reports whether the whole request was written. The rest of a body
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -144,7 +144,7 @@
 	for {
 		n, readErr := resp.Body.Read(buf)
 		events, err := x.events.Add(buf[:n])
-		if err == nil && len(events) > 0 {
+		if len(events) > 0 {
 			x.beginStream(resp.Status, header)
 			if err := x.sink.write(events); err != nil {
 				resp.Close(false)
@@ -193,7 +193,7 @@
 	x.g.Stats.attempt("broken")
 	x.g.Logger.Warn("stream broke", x.idField(), zap.String("upstream", choice.Upstream.ID), zap.Int("events", x.events.Events), telemetry.Err(err))
 	x.events.Reset()
-	if x.route.Resumable && x.events.LastID != "" {
+	if x.route.Resumable && x.events.Events > 0 {
 		x.resumeAfter = x.events.LastID
 	}
 	if x.sink.begun && (!x.route.Resumable || x.resumeAfter == "") {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -54,11 +54,15 @@
 			return
 		}
 		x.wantReplica(choice)
-		if choice.Load && !x.load(ctx, choice) {
-			if x.status != 0 {
+		if choice.Load {
+			switch x.load(ctx, choice) {
+			case loaded:
+			case notLoaded:
+				x.query.Tried[choice.Upstream.ID] = true
+				continue
+			case tooLate:
 				return
 			}
-			continue
 		}
 		ticket, shortage := x.g.Pool.Begin(choice, &x.query)
 		if ticket == nil {
@@ -161,12 +165,21 @@
 	return x.arrivals < mostArrivals && x.left() > leastLeft && x.g.Repeats.Repeat(x.query.Service)
 }
 
-// load has the model or adapter loaded. False means that the choice is of no
-// use; if x has no status yet another one can be tried.
-func (x *call) load(ctx context.Context, choice *upstream.Choice) bool {
+// loadResult is how an agent's load ended for a request.
+type loadResult int
+
+const (
+	loaded loadResult = iota
+	// notLoaded means that another engine can be tried.
+	notLoaded
+	// tooLate means that the request was given up.
+	tooLate
+)
+
+// load has the model or adapter loaded at the chosen engine.
+func (x *call) load(ctx context.Context, choice *upstream.Choice) loadResult {
 	if choice.AgentAddr == "" {
-		x.query.Tried[choice.Upstream.ID] = true
-		return false
+		return notLoaded
 	}
 	start := time.Now()
 	resp, err := x.g.Loader.Ensure(ctx, choice.AgentAddr, agentapi.EnsureRequest{
@@ -177,22 +190,19 @@
 			x.g.Logger.Warn("agent did not load", x.idField(), zap.String("upstream", choice.Upstream.ID),
 				zap.String("model", x.query.Name()), telemetry.Err(err))
 		}
-		x.query.Tried[choice.Upstream.ID] = true
-		return false
+		return notLoaded
 	}
 	if resp.Loaded {
 		x.g.Pool.Loaded(choice.Upstream.ID, x.query.Model, x.query.Adapter)
 		x.g.Logger.Debug("model loaded for request", x.idField(), zap.String("upstream", choice.Upstream.ID),
 			zap.String("model", x.query.Name()), zap.Duration("waited", time.Since(start)))
-		return true
+		return loaded
 	}
-	after := time.Duration(resp.ReadyInMS) * time.Millisecond
-	if after > x.left() {
+	if after := time.Duration(resp.ReadyInMS) * time.Millisecond; after > x.left() {
 		x.giveUp("the model cannot be loaded in time: "+resp.Reason, after)
-		return false
+		return tooLate
 	}
-	x.query.Tried[choice.Upstream.ID] = true
-	return false
+	return notLoaded
 }
 
 // wantReplica asks for another copy of a model whose engines are slow. The
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -113,6 +113,7 @@
 		}
 		x.team = team
 	}
+	x.events.LastID = x.attrs.ResumeAfter
 	x.query = upstream.Query{
 		Service: target(x.route, x.attrs.RequestID), Model: x.attrs.Model, Adapter: x.attrs.Adapter,
 		Prompt: x.attrs.Prompt, TokensIn: x.attrs.TokensIn, Objective: x.route.Objective,
