--- a/internal/agentapi/ensure.go
+++ b/internal/agentapi/ensure.go
@@ -7,9 +7,11 @@
 	Adapter string `json:"adapter,omitempty"`
 	// WaitMS is how long the caller waits, in ms; 0 only records the wish.
 	WaitMS int64 `json:"wait_ms"`
-	// Background wishes come after those of waiting requests and displace nothing
-	// that is asked for.
+	// Background wishes come after those of waiting requests.
 	Background bool `json:"background,omitempty"`
+	// Worth is the demand that a copy for the background would carry, on the
+	// scale of Demand.Asked; it displaces only models that carry clearly less.
+	Worth float64 `json:"worth,omitempty"`
 }
 
 // EnsureResponse tells whether the model is loaded now.
--- a/internal/agentapi/state.go
+++ b/internal/agentapi/state.go
@@ -37,8 +37,10 @@
 	After uint64 `json:"after"`
 	// WaitMS is how long the call may wait for a newer state, in ms.
 	WaitMS int `json:"wait_ms"`
-	// Engines is how many engines share the weight store.
+	// Engines is how many engines share the weight store, and Rank the place of
+	// this one among them, from 0.
 	Engines int      `json:"engines"`
+	Rank    int      `json:"rank"`
 	Demand  []Demand `json:"demand,omitempty"`
 }
 
--- a/internal/agentlink/client.go
+++ b/internal/agentlink/client.go
@@ -33,13 +33,29 @@
 	return &Client{calls: calls}, nil
 }
 
-// Ensure asks an agent to load a model and waits as long as req says.
+// Ensure asks an agent to load a model and waits as long as req says, or until
+// ctx ends.
 func (c *Client) Ensure(ctx context.Context, addr string, req agentapi.EnsureRequest) (agentapi.EnsureResponse, error) {
 	call, cancel := context.WithTimeout(ctx, time.Duration(req.WaitMS)*time.Millisecond+ensureMargin)
 	defer cancel()
-	var resp agentapi.EnsureResponse
-	err := c.calls.Call(call, addr, agentapi.PathEnsure, req, &resp)
-	return resp, err
+	type result struct {
+		resp agentapi.EnsureResponse
+		err  error
+	}
+	// The HTTP client takes a deadline from the context but does not notice its
+	// cancellation; a caller that leaves must not be waited for.
+	done := make(chan result, 1)
+	go func() {
+		var r result
+		r.err = c.calls.Call(call, addr, agentapi.PathEnsure, req, &r.resp)
+		done <- r
+	}()
+	select {
+	case r := <-done:
+		return r.resp, r.err
+	case <-call.Done():
+		return agentapi.EnsureResponse{}, call.Err()
+	}
 }
 
 func (c *Client) state(ctx context.Context, addr string, req agentapi.StateRequest) (*agentapi.State, error) {
--- a/internal/agentlink/watcher.go
+++ b/internal/agentlink/watcher.go
@@ -15,9 +15,10 @@
 const (
 	// stateWait is how long an agent may hold a call without news; the call also
 	// carries this instance's demand.
-	stateWait = 900 * time.Millisecond
-	// stateMargin is added to that before the agent counts as lost.
-	stateMargin = 500 * time.Millisecond
+	stateWait = 450 * time.Millisecond
+	// stateMargin is added to that before the agent's machine counts as silent. A
+	// machine that stands still takes the engine on it along.
+	stateMargin = 350 * time.Millisecond
 	// statePause bounds the rate of news of one agent; a load from memory takes
 	// 400 ms.
 	statePause = 100 * time.Millisecond
@@ -32,15 +33,16 @@
 	self   string
 	client *Client
 	pool   *upstream.Pool
-	// engines returns how many engines share the weight store with an upstream.
-	engines func(upstreamID string) int
+	// engines returns how many engines share the weight store with an upstream,
+	// and its place among them.
+	engines func(upstreamID string) (n, rank int)
 	logger  *zap.Logger
 
 	running map[upstream.Agent]context.CancelFunc
 }
 
 // NewWatcher returns a watcher that tells pool what it hears.
-func NewWatcher(self string, c *Client, pool *upstream.Pool, engines func(string) int, logger *zap.Logger) *Watcher {
+func NewWatcher(self string, c *Client, pool *upstream.Pool, engines func(string) (n, rank int), logger *zap.Logger) *Watcher {
 	return &Watcher{self: self, client: c, pool: pool, engines: engines, logger: logger, running: make(map[upstream.Agent]context.CancelFunc)}
 }
 
@@ -82,9 +84,10 @@
 	lost := false
 	for ctx.Err() == nil {
 		start := time.Now()
+		engines, rank := w.engines(a.UpstreamID)
 		st, err := w.client.state(ctx, a.Addr, agentapi.StateRequest{
 			From: w.self, After: after, WaitMS: int(stateWait.Milliseconds()),
-			Engines: w.engines(a.UpstreamID), Demand: w.pool.Demand(a.UpstreamID),
+			Engines: engines, Rank: rank, Demand: w.pool.Demand(a.UpstreamID),
 		})
 		if ctx.Err() != nil {
 			return
@@ -95,6 +98,9 @@
 				w.logger.Warn("agent lost", zap.String("upstream", a.UpstreamID), zap.String("addr", a.Addr), telemetry.Err(err))
 			}
 			after, pause = 0, lostPause
+			// A call that fails at once was refused by the machine, so the engine on it
+			// may be well; one that runs into its bound was not heard.
+			w.pool.AgentLost(a.UpstreamID, time.Since(start) >= stateWait)
 		} else {
 			if lost {
 				w.logger.Info("agent regained", zap.String("upstream", a.UpstreamID), zap.String("addr", a.Addr))
--- /dev/null
+++ b/internal/engineagent/agent_test.go
@@ -0,0 +1,352 @@
+package engineagent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/jacinthbend/jacinthbend/internal/agentapi"
+	"github.com/jacinthbend/jacinthbend/internal/fleet"
+)
+
+// fakeEngine carries out orders in virtual time and judges them: an order that
+// would overcommit memory or adapters, or that comes from an older fence, is
+// noted as a breach.
+type fakeEngine struct {
+	mu       sync.Mutex
+	spec     *fleet.Engine
+	report   fleet.EngineReport
+	fence    int64
+	breaches []string
+	orders   int
+	loads    []time.Time
+	// lose drops the answers of orders; late carries them out after a time.
+	lose bool
+	late time.Duration
+	// refused counts answers 409.
+	refused int
+	down    bool
+}
+
+func spec() *fleet.Engine {
+	e := &fleet.Engine{WeightsMB: 220, MaxAdapters: 3, LoadsPerSecond: 1.6, Models: make(map[string]fleet.Model)}
+	for _, m := range []string{"a", "b", "c", "d", "e"} {
+		e.Models[m] = fleet.Model{Name: m, WeightsMB: 70, AdapterMB: 1, FromStore: 6 * time.Second, FromDisk: 800 * time.Millisecond, FromMemory: 400 * time.Millisecond}
+	}
+	return e
+}
+
+func newFakeEngine(held ...string) *fakeEngine {
+	e := &fakeEngine{spec: spec(), report: fleet.EngineReport{Born: 1, Holdings: fleet.Holdings{Adapters: map[string][]string{}, OnDisk: []string{"a", "b", "c", "d"}}}}
+	for _, m := range held {
+		e.report.Holdings.Adapters[m] = nil
+	}
+	return e
+}
+
+func (e *fakeEngine) Report(context.Context) (fleet.EngineReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return fleet.EngineReport{}, errors.New("down")
+	}
+	r := e.report
+	r.Holdings.Adapters = make(map[string][]string)
+	for m, as := range e.report.Holdings.Adapters {
+		r.Holdings.Adapters[m] = append([]string(nil), as...)
+	}
+	r.Pending = append([]string(nil), e.report.Pending...)
+	return r, nil
+}
+
+func (e *fakeEngine) Identify(context.Context, string) (string, error) { return "i-1", nil }
+
+func (e *fakeEngine) Order(_ context.Context, o fleet.Order) (fleet.OrderResult, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders++
+	if o.Fence < e.fence {
+		e.breaches = append(e.breaches, fmt.Sprintf("fence %d after %d", o.Fence, e.fence))
+	}
+	e.fence = max(e.fence, o.Fence)
+	if e.late > 0 {
+		time.AfterFunc(e.late, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.accept(o)
+		})
+		return fleet.OrderUnknown, errors.New("no answer")
+	}
+	r := e.accept(o)
+	if r == fleet.OrderConflict {
+		e.refused++
+	}
+	if e.lose {
+		return fleet.OrderUnknown, errors.New("no answer")
+	}
+	return r, nil
+}
+
+// accept carries out an order as the platform says; the caller holds the lock.
+func (e *fakeEngine) accept(o fleet.Order) fleet.OrderResult {
+	h := &e.report.Holdings
+	if e.report.Busy || o.Expected != e.report.Sequence {
+		return fleet.OrderConflict
+	}
+	if o.Adapter != "" {
+		return e.acceptAdapter(o)
+	}
+	e.report.Sequence++
+	e.report.Busy = true
+	if o.Kind == fleet.OrderUnload {
+		delete(h.Adapters, o.Model)
+		time.AfterFunc(50*time.Millisecond, e.done(func() {}))
+		return fleet.OrderAccepted
+	}
+	used := 0.0
+	for m, as := range h.Adapters {
+		used += e.spec.Models[m].WeightsMB + float64(len(as))
+	}
+	if used+e.spec.Models[o.Model].WeightsMB > e.spec.WeightsMB {
+		e.breaches = append(e.breaches, "memory overcommitted by "+o.Model)
+	}
+	took := 800 * time.Millisecond
+	if o.Model == "e" {
+		took = 6 * time.Second
+		e.loads = append(e.loads, time.Now())
+	}
+	time.AfterFunc(took, e.done(func() { h.Adapters[o.Model] = nil }))
+	return fleet.OrderAccepted
+}
+
+func (e *fakeEngine) done(f func()) func() {
+	return func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.report.Busy = false
+		f()
+	}
+}
+
+func (e *fakeEngine) acceptAdapter(o fleet.Order) fleet.OrderResult {
+	h := &e.report.Holdings
+	e.report.Sequence++
+	if o.Kind == fleet.OrderUnload {
+		var rest []string
+		for _, a := range h.Adapters[o.Model] {
+			if a != o.Adapter {
+				rest = append(rest, a)
+			}
+		}
+		h.Adapters[o.Model] = rest
+		return fleet.OrderHolds
+	}
+	n := len(e.report.Pending)
+	for _, as := range h.Adapters {
+		n += len(as)
+	}
+	if n >= e.spec.MaxAdapters {
+		e.breaches = append(e.breaches, "too many adapters")
+	}
+	e.report.Pending = append(e.report.Pending, o.Model+"/"+o.Adapter)
+	time.AfterFunc(5*time.Millisecond, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.report.Pending = e.report.Pending[1:]
+		h.Adapters[o.Model] = append(h.Adapters[o.Model], o.Adapter)
+	})
+	return fleet.OrderAccepted
+}
+
+// play runs an agent beside e.
+func play(t *testing.T, e *fakeEngine, fence int64, f func(*is.I, *Agent)) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAgent(e, fence, true)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { a.Run(ctx); close(done) }()
+		time.Sleep(100 * time.Millisecond)
+		f(is.New(t), a)
+		cancel()
+		<-done
+		time.Sleep(20 * time.Second) // late orders are carried out
+		is.New(t).Equal(len(e.breaches), 0)
+	})
+}
+
+func newAgent(e *fakeEngine, fence int64, fresh bool) *Agent {
+	a := New(Options{
+		Name: "agent-1", Service: "s", Engine: e, Logger: zap.NewNop(), Fresh: fresh,
+		Config: func() *fleet.Config {
+			return &fleet.Config{Services: map[string]fleet.Service{"s": {Name: "s", Engine: e.spec}}}
+		},
+		Store: StoreBounds{Window: 5 * time.Second, Over: 1.1},
+	})
+	a.SetFence(fence)
+	a.sharing = sharing{engines: 9}
+	return a
+}
+
+func ensure(a *Agent, model, adapter string, wait time.Duration) agentapi.EnsureResponse {
+	r, _ := a.ServeEnsure(context.Background(), agentapi.EnsureRequest{Model: model, Adapter: adapter, WaitMS: wait.Milliseconds()})
+	return r
+}
+
+// TestEnsure guards against a request that is told too early, or not at all,
+// that its model or adapter is loaded.
+func TestEnsure(t *testing.T) {
+	e := newFakeEngine("a", "b", "c")
+	play(t, e, 1, func(check *is.I, a *Agent) {
+		check.True(ensure(a, "a", "", 0).Loaded)
+		start := time.Now()
+		check.True(ensure(a, "a", "x1", time.Second).Loaded)
+		check.True(time.Since(start) < 50*time.Millisecond)
+		start = time.Now()
+		check.True(ensure(a, "d", "x2", 3*time.Second).Loaded) // displaces a model
+		check.True(time.Since(start) < 1500*time.Millisecond)
+		check.True(!ensure(a, "unknown", "", time.Second).Loaded)
+	})
+}
+
+// TestAdapterSlots guards against more adapters than the engine takes, and
+// against an adapter that is never loaded because all slots are taken.
+func TestAdapterSlots(t *testing.T) {
+	e := newFakeEngine("a", "b")
+	play(t, e, 1, func(check *is.I, a *Agent) {
+		for i := range 8 {
+			check.True(ensure(a, "a", fmt.Sprintf("x%d", i), time.Second).Loaded)
+		}
+		var wg sync.WaitGroup
+		for i := range 3 {
+			wg.Go(func() { check.True(ensure(a, "b", fmt.Sprintf("y%d", i), 2*time.Second).Loaded) })
+		}
+		wg.Wait()
+	})
+}
+
+// TestLostAnswers guards against orders that overcommit the engine when their
+// answers are lost, also when they are carried out seconds later (F7, F14).
+func TestLostAnswers(t *testing.T) {
+	for _, late := range []time.Duration{0, 300 * time.Millisecond, 2 * time.Second, 7 * time.Second} {
+		e := newFakeEngine("a", "b", "c")
+		e.lose, e.late = late == 0, late
+		play(t, e, 1, func(check *is.I, a *Agent) {
+			_ = ensure(a, "d", "", 4*time.Second)
+			_ = ensure(a, "a", "x", time.Second)
+			e.mu.Lock()
+			e.lose, e.late = false, 0
+			e.mu.Unlock()
+			check.True(ensure(a, "d", "", 20*time.Second).Loaded)
+		})
+	}
+}
+
+// TestNoOrderWhileBusy guards against orders that the engine refuses because
+// it carries one out; a cold engine counts each.
+func TestNoOrderWhileBusy(t *testing.T) {
+	e := newFakeEngine("a", "b")
+	play(t, e, 1, func(check *is.I, a *Agent) {
+		var wg sync.WaitGroup
+		wg.Go(func() { check.True(ensure(a, "c", "", 3*time.Second).Loaded) })
+		time.Sleep(100 * time.Millisecond)
+		wg.Go(func() { check.True(ensure(a, "a", "x", 3*time.Second).Loaded) })
+		wg.Wait()
+		check.Equal(e.refused, 0)
+		check.Equal(e.orders, 2)
+	})
+}
+
+// TestFence guards against orders without a fence, before the agent has one.
+func TestFence(t *testing.T) {
+	e := newFakeEngine("a")
+	play(t, e, 0, func(check *is.I, a *Agent) {
+		check.True(!ensure(a, "b", "", 2*time.Second).Loaded)
+		check.Equal(e.orders, 0)
+		a.SetFence(5)
+		check.True(ensure(a, "b", "", 2*time.Second).Loaded)
+	})
+}
+
+// TestStoreWindow guards against more loads from the weight store than all
+// agents together may begin in a window, whatever their number, when each of
+// them begins one as soon as it may; and against a store that is left idle.
+func TestStoreWindow(t *testing.T) {
+	bounds := StoreBounds{Window: 5 * time.Second, Over: 1.1}
+	for _, engines := range []int{1, 3, 9, 18, 50, 150, 400} {
+		for _, rate := range []float64{1.6, 4.2, 11} {
+			check := is.New(t)
+			windows := make([]storeWindow, engines)
+			var begun []time.Time
+			now := time.Unix(1700000000, 0)
+			for range 1200 {
+				now = now.Add(50 * time.Millisecond)
+				for i := range windows {
+					windows[i].bounds = bounds
+					if windows[i].allowed(now, rate, sharing{engines: engines, rank: i}) {
+						windows[i].add(now)
+						begun = append(begun, now)
+					}
+				}
+			}
+			most := rate*bounds.Window.Seconds()*bounds.Over + storeSlack
+			first := 0
+			for i, at := range begun {
+				for at.Sub(begun[first]) >= bounds.Window {
+					first++
+				}
+				check.True(float64(i-first+1) <= most)
+			}
+			check.True(float64(len(begun)) > 12*most/8) // of the 12 windows' bound
+		}
+	}
+	check := is.New(t)
+	w := storeWindow{bounds: bounds}
+	check.True(!w.allowed(time.Now(), 1.6, sharing{})) // the number of engines is not known
+	w = newAgent(newFakeEngine(), 1, false).store
+	check.True(!w.allowed(time.Now(), 1.6, sharing{engines: 9})) // an earlier agent may have begun one
+}
+
+// TestEngineRestart guards against a state of an earlier start of the engine.
+func TestEngineRestart(t *testing.T) {
+	e := newFakeEngine("a", "b")
+	play(t, e, 1, func(check *is.I, a *Agent) {
+		check.True(a.State().Holdings.HasModel("a"))
+		e.mu.Lock()
+		e.down = true
+		e.mu.Unlock()
+		time.Sleep(300 * time.Millisecond)
+		check.True(!a.State().Known)
+		e.mu.Lock()
+		e.down, e.report = false, fleet.EngineReport{Born: 2, Holdings: fleet.Holdings{Adapters: map[string][]string{}, OnDisk: []string{"a"}}}
+		e.mu.Unlock()
+		time.Sleep(300 * time.Millisecond)
+		check.Equal(a.State().Born, int64(2))
+		check.True(!a.State().Holdings.HasModel("a"))
+		check.True(ensure(a, "a", "", 2*time.Second).Loaded)
+	})
+}
+
+// TestStateCall guards against an entry instance that hears of a load late.
+func TestStateCall(t *testing.T) {
+	e := newFakeEngine("a")
+	play(t, e, 1, func(check *is.I, a *Agent) {
+		st := a.State()
+		start := time.Now()
+		next, err := a.ServeState(context.Background(), agentapi.StateRequest{From: "e1", After: st.Version, WaitMS: 500, Engines: 4})
+		check.NoErr(err)
+		check.Equal(next.Version, st.Version)
+		check.Equal(time.Since(start), 500*time.Millisecond)
+		go func() { _ = ensure(a, "b", "", 2*time.Second) }()
+		next, err = a.ServeState(context.Background(), agentapi.StateRequest{From: "e1", After: st.Version, WaitMS: 500, Engines: 4})
+		check.NoErr(err)
+		check.Equal(next.Loading, "b")
+		check.True(next.LoadingLeftMS > 0)
+	})
+}
--- a/internal/engineagent/calls.go
+++ b/internal/engineagent/calls.go
@@ -22,7 +22,7 @@
 func (a *Agent) ServeState(ctx context.Context, req agentapi.StateRequest) (agentapi.State, error) {
 	a.mu.Lock()
 	a.demand.heard(req.From, req.Demand, time.Now())
-	a.engines = req.Engines
+	a.sharing = sharing{engines: req.Engines, rank: req.Rank}
 	changed, fresh := a.changed, a.version != req.After
 	a.mu.Unlock()
 	if !fresh && req.WaitMS > 0 {
@@ -47,10 +47,11 @@
 	if reason, ok := a.canHold(req.Model); !ok {
 		return agentapi.EnsureResponse{Reason: reason}, nil
 	}
-	a.want(names, req.Background)
 	if req.Background {
+		a.wish(req.Model, req.Worth)
 		return agentapi.EnsureResponse{Loaded: a.holds(req.Model, req.Adapter)}, nil
 	}
+	a.want(names)
 	defer a.unwant(names)
 	t := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
 	defer t.Stop()
@@ -90,17 +91,28 @@
 	return a.known && a.report.Holdings.HasAdapter(model, adapter)
 }
 
-func (a *Agent) want(names []string, background bool) {
+func (a *Agent) wish(model string, worth float64) {
+	a.mu.Lock()
+	a.wants.wish(model, worth, time.Now())
+	a.mu.Unlock()
+	a.wakeUp()
+}
+
+func (a *Agent) want(names []string) {
 	now := time.Now()
 	a.mu.Lock()
 	for _, n := range names {
-		a.wants.add(n, background, now)
+		a.wants.add(n, now)
 		if model, _, isAdapter := strings.Cut(n, "/"); !isAdapter {
 			// A request is on its way to the model, so it must not be displaced.
 			a.demand.lastUsed[model] = now
 		}
 	}
 	a.mu.Unlock()
+	a.wakeUp()
+}
+
+func (a *Agent) wakeUp() {
 	select {
 	case a.wake <- struct{}{}:
 	default:
@@ -115,3 +127,27 @@
 		a.wants.done(n, now)
 	}
 }
+
+// State returns the state for entry instances. The caller holds no lock.
+func (a *Agent) State() agentapi.State {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state(time.Now())
+}
+
+func (a *Agent) state(now time.Time) agentapi.State {
+	st := agentapi.State{Version: a.version, Known: a.known}
+	if !a.known {
+		return st
+	}
+	h := a.report.Holdings
+	st.Born, st.Holdings, st.Loading = a.report.Born, &h, a.loading
+	if a.loading != "" {
+		st.LoadingLeftMS = max(0, a.loadedBy.Sub(now).Milliseconds())
+	}
+	st.Queued, st.Running, st.Draining = a.report.Queued, a.report.Running, a.report.Draining
+	for _, w := range a.wants.list(now, func(name string) bool { return !strings.Contains(name, "/") && !h.HasModel(name) }) {
+		st.Wanted = append(st.Wanted, w.Model)
+	}
+	return st
+}
--- a/internal/engineagent/store_window.go
+++ b/internal/engineagent/store_window.go
@@ -24,29 +24,44 @@
 
 // storeWindow spaces this engine's loads from the weight store. Each agent
 // keeps to an equal part of the bound, so that the sum holds without talking to
-// the others.
+// the others. Where the part is below one load a window, the engines take turns
+// by the time of day.
 type storeWindow struct {
 	bounds StoreBounds
 	begun  []time.Time
 }
 
+// sharing is how many engines share the weight store, and the place of this one
+// among them.
+type sharing struct {
+	engines, rank int
+}
+
 // allowed reports whether a load may begin when engines share a rate of loads.
-func (w *storeWindow) allowed(now time.Time, rate float64, engines int) bool {
-	if engines <= 0 || rate <= 0 {
+func (w *storeWindow) allowed(now time.Time, rate float64, s sharing) bool {
+	if s.engines <= 0 || rate <= 0 {
 		return false
 	}
-	share := storeUse * (rate*w.bounds.Window.Seconds()*w.bounds.Over + storeSlack) / float64(engines)
-	most, span := int(share), w.bounds.Window+storeMargin
-	if most < 1 {
-		most, span = 1, time.Duration(math.Ceil(1/share))*w.bounds.Window+storeMargin
+	share := storeUse * (rate*w.bounds.Window.Seconds()*w.bounds.Over + storeSlack) / float64(s.engines)
+	span := w.bounds.Window + storeMargin
+	if share >= 1 {
+		return w.since(now.Add(-span)) < int(share)
 	}
-	recent := 0
-	for _, t := range w.begun {
-		if now.Sub(t) < span {
-			recent++
+	// Any window touches at most two turns, so each turn has half of the bound.
+	const turnsInWindow = 2
+	turns := int64(math.Ceil(turnsInWindow / share))
+	return now.UnixNano()/int64(span)%turns == int64(s.rank)%turns && w.since(now.Add(-turnsInWindow*span)) == 0
+}
+
+// since counts the loads that began after a time.
+func (w *storeWindow) since(t time.Time) int {
+	n := 0
+	for _, begun := range w.begun {
+		if begun.After(t) {
+			n++
 		}
 	}
-	return recent < most
+	return n
 }
 
 func (w *storeWindow) add(now time.Time) {
--- a/internal/engineagent/wants.go
+++ b/internal/engineagent/wants.go
@@ -9,30 +9,35 @@
 )
 
 // wishAge is how long a wish for the background is kept.
-const wishAge = 8 * time.Second
+const wishAge = 3 * time.Second
 
 // want is a model or adapter that is asked for.
 type want struct {
 	since   time.Time
 	waiting int
-	// wishUntil keeps a wish for the background.
+	// wishUntil keeps a wish for the background, worth is the demand it would carry.
 	wishUntil time.Time
+	worth     float64
 }
 
 // wants are the models and adapters that are asked for, by name.
 type wants map[string]*want
 
-func (w wants) add(name string, background bool, now time.Time) {
+func (w wants) add(name string, now time.Time) { w.of(name, now).waiting++ }
+
+// wish records a wish for the background.
+func (w wants) wish(name string, worth float64, now time.Time) {
+	x := w.of(name, now)
+	x.wishUntil, x.worth = now.Add(wishAge), worth
+}
+
+func (w wants) of(name string, now time.Time) *want {
 	x, ok := w[name]
 	if !ok {
 		x = &want{since: now}
 		w[name] = x
 	}
-	if background {
-		x.wishUntil = now.Add(wishAge)
-		return
-	}
-	x.waiting++
+	return x
 }
 
 func (w wants) done(name string, now time.Time) {
@@ -54,7 +59,7 @@
 	for name, x := range w {
 		w.tidy(name, x, now)
 		if _, ok := w[name]; ok && pick(name) {
-			out = append(out, placement.Want{Model: name, Since: x.since, Waiting: x.waiting})
+			out = append(out, placement.Want{Model: name, Since: x.since, Waiting: x.waiting, Worth: x.worth})
 		}
 	}
 	slices.SortFunc(out, func(a, b placement.Want) int {
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -58,6 +58,9 @@
 // Do sends r to addr and returns when the head of the answer has come. The
 // exchange ends with ctx. An error is a *Failure.
 func (c *Client) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, &Failure{NotSent, err}
+	}
 	cn, err := c.get(ctx, addr, r.OnlyFresh)
 	if err != nil {
 		return nil, &Failure{NotSent, err}
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -25,7 +25,6 @@
 	idleSince time.Time
 	// keepFor is how long the upstream keeps the connection idle, as far as known.
 	keepFor time.Duration
-	used    bool
 }
 
 func newConn(c net.Conn) *conn {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -20,13 +20,21 @@
 	return n
 }
 
-// Engines returns the number of model engines of a service.
-func (v *View) Engines(service string) int {
-	n := 0
+// Engines returns how many upstreams share a service with the one called id,
+// and its place among them in the order of their ids.
+func (v *View) Engines(id string) (n, rank int) {
+	self, ok := v.Upstreams[id]
+	if !ok {
+		return 0, 0
+	}
 	for _, u := range v.Upstreams {
-		if u.Service == service {
-			n++
+		if u.Service != self.Service {
+			continue
+		}
+		n++
+		if u.ID < id {
+			rank++
 		}
 	}
-	return n
+	return n, rank
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -23,14 +24,21 @@
 	id := choice.Upstream.ID
 	x.query.Tried[id] = true
 	x.upstreams = append(x.upstreams, id)
-	resp, err := x.g.Exchange.Do(ctx, choice.Upstream.Addr, &exchange.Request{
+	x.expected = choice.Delay
+	if x.firstSent.IsZero() {
+		x.firstSent = time.Now()
+	}
+	w := x.newWatch(ctx, id)
+	defer w.stop()
+	resp, err := x.g.Exchange.Do(w.ctx, choice.Upstream.Addr, &exchange.Request{
 		Method: x.method, URI: x.uri, Host: x.host, Header: x.g.Dialect.ForwardHeader(x.header, x.forward(choice)),
 		Body: x.body, ID: x.attrs.RequestID, OnlyFresh: !x.route.Repeatable(),
 	})
 	if err != nil {
-		return x.failed(ctx, choice, ticket, err)
+		return x.failed(ctx, w, choice, ticket, err)
 	}
 	x.arrivals++
+	w.headCame()
 	answer := x.g.Dialect.Answer(resp.Header)
 	ticket.Answered(answer)
 	if answer.NotRun || resp.Status == http.StatusMisdirectedRequest {
@@ -38,13 +46,13 @@
 	}
 	x.ran++
 	if resp.Status/100 == 2 && x.route.Kind == fleet.Streaming && answer.Signed && !answer.Encoded {
-		return x.stream(ctx, choice, ticket, resp, answer)
+		return x.stream(ctx, w, choice, ticket, resp, answer)
 	}
-	return x.whole(ctx, choice, ticket, resp, answer)
+	return x.whole(ctx, w, choice, ticket, resp, answer)
 }
 
 // failed handles an exchange without an answer.
-func (x *call) failed(ctx context.Context, choice *upstream.Choice, ticket *upstream.Ticket, err error) next {
+func (x *call) failed(ctx context.Context, w *watch, choice *upstream.Choice, ticket *upstream.Ticket, err error) next {
 	var f *exchange.Failure
 	notSent := errors.As(err, &f) && f.Stage == exchange.NotSent
 	if !notSent {
@@ -56,6 +64,9 @@
 		ticket.End(upstream.Abandoned)
 		x.ended(ctx)
 		return finished
+	case w.stalled():
+		err = errStalled
+		ticket.End(upstream.Stalled)
 	case notSent:
 		ticket.End(upstream.Unreachable)
 	default:
@@ -90,7 +101,7 @@
 
 // whole reads an answer to its end before it passes it on, so that a broken
 // one can be repeated.
-func (x *call) whole(ctx context.Context, choice *upstream.Choice, ticket *upstream.Ticket, resp *exchange.Response, a fleet.Answer) next {
+func (x *call) whole(ctx context.Context, w *watch, choice *upstream.Choice, ticket *upstream.Ticket, resp *exchange.Response, a fleet.Answer) next {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWholeBytes+1))
 	if err == nil && len(body) > maxWholeBytes {
 		err = errors.Errorf("the answer is longer than %d bytes", maxWholeBytes)
@@ -102,7 +113,7 @@
 	if err != nil {
 		x.ran--
 		x.arrivals--
-		return x.failed(ctx, choice, ticket, &exchange.Failure{Stage: exchange.BadAnswer, Err: err})
+		return x.failed(ctx, w, choice, ticket, &exchange.Failure{Stage: exchange.BadAnswer, Err: err})
 	}
 	if x.sink.begun {
 		ticket.End(upstream.Errored)
@@ -135,7 +146,7 @@
 func (x *call) passHeld() { x.pass(x.held) }
 
 // stream passes events on as they arrive.
-func (x *call) stream(ctx context.Context, choice *upstream.Choice, ticket *upstream.Ticket, resp *exchange.Response, a fleet.Answer) next {
+func (x *call) stream(ctx context.Context, w *watch, choice *upstream.Choice, ticket *upstream.Ticket, resp *exchange.Response, a fleet.Answer) next {
 	if x.version == "" {
 		x.version = a.WeightsVersion
 	}
@@ -143,6 +154,10 @@
 	buf := make([]byte, streamBufferBytes)
 	for {
 		n, readErr := resp.Body.Read(buf)
+		if n > 0 {
+			w.note()
+			ticket.Heard()
+		}
 		events, err := x.events.Add(buf[:n])
 		if len(events) > 0 {
 			x.beginStream(resp.Status, header)
@@ -166,7 +181,7 @@
 			return finished
 		}
 		resp.Close(false)
-		return x.broken(ctx, choice, ticket, err)
+		return x.broken(ctx, w, choice, ticket, err)
 	}
 }
 
@@ -177,19 +192,23 @@
 	if x.sink.begun {
 		return
 	}
-	x.status = status
+	x.status, x.firstByte = status, time.Now()
 	x.g.Stats.firstByte.UpdateDuration(x.start)
 	x.sink.begin(status, header)
 }
 
 // broken handles a stream that ended before it was complete.
-func (x *call) broken(ctx context.Context, choice *upstream.Choice, ticket *upstream.Ticket, err error) next {
+func (x *call) broken(ctx context.Context, w *watch, choice *upstream.Choice, ticket *upstream.Ticket, err error) next {
 	if ctx.Err() != nil {
 		ticket.End(upstream.Abandoned)
 		x.ended(ctx)
 		return finished
 	}
-	ticket.End(upstream.Broken)
+	outcome := upstream.Broken
+	if w.stalled() {
+		err, outcome = errStalled, upstream.Stalled
+	}
+	ticket.End(outcome)
 	x.g.Stats.attempt("broken")
 	x.g.Logger.Warn("stream broke", x.idField(), zap.String("upstream", choice.Upstream.ID), zap.Int("events", x.events.Events), telemetry.Err(err))
 	x.events.Reset()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -48,6 +48,13 @@
 	// resumeAfter and version let a stream go on at another upstream.
 	resumeAfter, version string
 
+	// firstSent and firstByte are when the request was sent and when the first
+	// part of the answer came; loadWait is the time spent on loads.
+	firstSent, firstByte time.Time
+	loadWait             time.Duration
+	// expected is the estimate of the time to the first token at the last choice.
+	expected time.Duration
+
 	status int
 	kind   errkind.Kind
 	reason string
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -57,6 +57,9 @@
 		if choice.Load {
 			switch x.load(ctx, choice) {
 			case loaded:
+				if x.ended(ctx) {
+					return
+				}
 			case notLoaded:
 				x.query.Tried[choice.Upstream.ID] = true
 				continue
@@ -182,6 +185,7 @@
 		return notLoaded
 	}
 	start := time.Now()
+	defer func() { x.loadWait += time.Since(start) }()
 	resp, err := x.g.Loader.Ensure(ctx, choice.AgentAddr, agentapi.EnsureRequest{
 		Model: x.query.Model, Adapter: x.query.Adapter, WaitMS: x.left().Milliseconds(),
 	})
@@ -212,12 +216,12 @@
 	if r == nil || r.AgentAddr == "" {
 		return
 	}
-	g, model := x.g, x.query.Model
+	g, model, worth := x.g, x.query.Model, r.Worth
 	id := x.idField()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		_, err := g.Loader.Ensure(ctx, r.AgentAddr, agentapi.EnsureRequest{Model: model, Background: true})
+		_, err := g.Loader.Ensure(ctx, r.AgentAddr, agentapi.EnsureRequest{Model: model, Background: true, Worth: worth})
 		if err != nil {
 			g.Logger.Warn("agent did not take the wish for a copy", id, zap.String("model", model), telemetry.Err(err))
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -169,6 +169,12 @@
 	if len(x.upstreams) > 0 {
 		fields = append(fields, zap.Strings("upstreams", x.upstreams), zap.Int("ran", x.ran), zap.Int("events", x.events.Events))
 	}
+	if !x.firstSent.IsZero() {
+		fields = append(fields, zap.Duration("sent_after", x.firstSent.Sub(x.start)))
+	}
+	if !x.firstByte.IsZero() {
+		fields = append(fields, zap.Duration("first_byte_after", x.firstByte.Sub(x.start)), zap.Duration("expected", x.expected), zap.Duration("load_wait", x.loadWait))
+	}
 	if x.kind == "" {
 		x.g.Logger.Info("request served", fields...)
 		return
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -188,3 +188,82 @@
 	check.True(a.header.Get("Retry-After") != "")
 	check.Equal(len(w.seen()), 0)
 }
+
+// TestStall guards against a request that waits until its deadline at an
+// upstream whose machine stands still, although another one may run it; and
+// against one that may not be repeated being run again.
+func TestStall(t *testing.T) {
+	block := make(chan struct{})
+	defer close(block)
+	stall := func(first script) script {
+		return func(c net.Conn, a arrival) bool {
+			first(c, a)
+			<-block
+			return false
+		}
+	}
+	silence := func(w *world) {
+		for len(w.seen()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(20 * time.Millisecond)
+		w.pool.AgentLost("i-0", true)
+	}
+	t.Run("stream", func(t *testing.T) {
+		check := is.New(t)
+		w := newWorld(t, stall(chunks(false, event1)), chunks(true, event2))
+		go silence(w)
+		start := time.Now()
+		a := w.send("POST", "/resume/", "x")
+		check.NoErr(a.err)
+		check.Equal(a.body, event1+event2)
+		check.True(time.Since(start) < 2*time.Second)
+	})
+	t.Run("before the first event", func(t *testing.T) {
+		check := is.New(t)
+		w := newWorld(t, stall(func(net.Conn, arrival) bool { return true }), chunks(true, event1))
+		go silence(w)
+		a := w.send("POST", "/resume/", "x")
+		check.NoErr(a.err)
+		check.Equal(a.body, event1)
+	})
+	t.Run("may not be repeated", func(t *testing.T) {
+		check := is.New(t)
+		w := newWorld(t, stall(func(net.Conn, arrival) bool { return true }), chunks(true, event1))
+		go silence(w)
+		a := w.send("POST", "/stream/", "x")
+		check.Equal(a.status, 504)
+		check.Equal(len(w.seen()), 1)
+	})
+	t.Run("plain", func(t *testing.T) {
+		check := is.New(t)
+		w := newWorld(t, stall(func(net.Conn, arrival) bool { return true }), whole(200, "second"))
+		a := w.send("GET", "/safe/", "")
+		check.Equal(a.status, 200)
+		check.Equal(a.body, "second")
+	})
+}
+
+// TestCallerLeavesDuringLoad guards against a request that is sent to an engine
+// after its caller left while the model was loaded.
+func TestCallerLeavesDuringLoad(t *testing.T) {
+	check := is.New(t)
+	w := newWorld(t, chunks(true, event1), chunks(true, event1))
+	w.engines()
+	// Leaves an idle connection, on which a request could be sent at once.
+	check.Equal(w.send("POST", "/model/", "x", "Jacinthbend-Model: m").body, event1)
+	release := w.loader.holdLoads()
+	c, err := net.Dial("tcp", w.addr)
+	check.NoErr(err)
+	w.write(c, "POST", "/model/", "x", "Jacinthbend-Model: m/a1")
+	for w.machine.Running() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	check.NoErr(c.Close())
+	time.Sleep(50 * time.Millisecond)
+	release()
+	for w.machine.Running() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	check.Equal(len(w.seen()), 1)
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -55,6 +55,7 @@
 	addr    string
 	loader  *loader
 	view    *fleet.View
+	pool    *upstream.Pool
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -66,8 +67,11 @@
 // loader is an agent that loads at once, or refuses.
 type loader struct {
 	refuse bool
-	asked  []string
-	mu     sync.Mutex
+	// hold keeps loads until it is closed; an agent does not notice that a caller
+	// has gone.
+	hold  chan struct{}
+	asked []string
+	mu    sync.Mutex
 }
 
 func (l *loader) set(refuse bool) {
@@ -76,7 +80,21 @@
 	l.refuse = refuse
 }
 
+func (l *loader) holdLoads() (release func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	hold := make(chan struct{})
+	l.hold = hold
+	return func() { close(hold) }
+}
+
 func (l *loader) Ensure(_ context.Context, _ string, req agentapi.EnsureRequest) (agentapi.EnsureResponse, error) {
+	l.mu.Lock()
+	hold := l.hold
+	l.mu.Unlock()
+	if hold != nil {
+		<-hold
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.asked = append(l.asked, req.Model+"/"+req.Adapter)
@@ -124,10 +142,10 @@
 		}
 		v.Upstreams[id] = &fleet.Upstream{ID: id, Service: "s", Addr: w.upstream(id, s), DataCentre: dc, Capacity: 8}
 	}
-	w.view = v
+	w.view, w.pool = v, upstream.NewPool("near", upstream.Bounds{})
 	dialect := platform.Dialect{}
 	w.gateway = gateway.New(gateway.Options{
-		Dialect: dialect, Pool: upstream.NewPool("near", upstream.Bounds{}),
+		Dialect: dialect, Pool: w.pool,
 		Exchange: exchange.NewClient(func(h http.Header) (string, time.Duration) {
 			a := dialect.Answer(h)
 			return a.RequestID, a.KeepAlive
--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -36,6 +36,7 @@
 	exchange *exchange.Client
 	quota    *tokenquota.Bank
 	gateway  *gateway.Gateway
+	agents   *agentlink.Client
 	watcher  *agentlink.Watcher
 	set      *metrics.Set
 }
@@ -57,6 +58,7 @@
 	go e.follower.Run(background, topic.Operators, topic.Upstreams, topic.Members)
 	go e.watcher.Run(background)
 	go e.tidy(background)
+	go e.adoptOrphans(background)
 	go p.followSettings(background, e.store)
 	go announce(background, e.store, fleet.Member{
 		Name: s.Instance, Role: fleet.RoleEntry, DataCentre: s.DataCentre, Addr: s.PeerAddr(),
@@ -76,8 +78,7 @@
 	if e.links, err = entrylink.NewClient(s.Instance, func() *fleet.View { return e.follower.View() }); err != nil {
 		return err
 	}
-	agents, err := agentlink.NewClient()
-	if err != nil {
+	if e.agents, err = agentlink.NewClient(); err != nil {
 		return err
 	}
 	dialect := platform.Dialect{}
@@ -90,26 +91,23 @@
 	e.gateway = gateway.New(gateway.Options{
 		Dialect: dialect, Pool: e.pool, Exchange: e.exchange, Quota: e.quota,
 		Repeats: retrybudget.New(retrybudget.Bounds{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.RetryWindow()}),
-		Loader:  agents, Machine: e.machine, DataCentre: s.DataCentre, Logger: e.logger, Stats: gateway.NewStats(e.set),
+		Loader:  e.agents, Machine: e.machine, DataCentre: s.DataCentre, Logger: e.logger, Stats: gateway.NewStats(e.set),
 	})
 	e.follower = topic.NewFollower(topic.Options{
 		Source: e.store, Fallback: e.links, Decoder: platform.Decoder{}, Logger: e.logger, OnChange: e.gateway.Update,
 	})
-	e.watcher = agentlink.NewWatcher(s.Instance, agents, e.pool, e.engines, e.logger)
+	e.watcher = agentlink.NewWatcher(s.Instance, e.agents, e.pool, e.engines, e.logger)
 	return nil
 }
 
-// engines returns how many engines share the weight store with an upstream.
-func (e *entry) engines(upstreamID string) int {
+// engines returns how many engines share the weight store with an upstream, and
+// its place among them.
+func (e *entry) engines(upstreamID string) (n, rank int) {
 	v := e.follower.View()
 	if v == nil {
-		return 0
-	}
-	u, ok := v.Upstreams[upstreamID]
-	if !ok {
-		return 0
+		return 0, 0
 	}
-	return v.Engines(u.Service)
+	return v.Engines(upstreamID)
 }
 
 func (e *entry) listen() error {
--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -26,6 +26,8 @@
 	Since time.Time
 	// Waiting is how many requests wait; 0 is a wish for the background.
 	Waiting int
+	// Worth is the demand that a wish for the background would carry.
+	Worth float64
 }
 
 // Use is what entry instances say of a model at this engine.
--- a/internal/placement/next.go
+++ b/internal/placement/next.go
@@ -16,6 +16,9 @@
 	// patience is how long a waiting request lets models with running requests
 	// stay. The unload waits for those requests, a second or so.
 	patience = 700 * time.Millisecond
+	// wishGain of a wish's demand is the most that a model displaced by it may
+	// carry; two copies of about the same demand must not displace each other.
+	wishGain = 0.6
 )
 
 // Next returns the next order, or none.
@@ -72,7 +75,7 @@
 	var models []held
 	for name := range in.Holdings.Adapters {
 		u := in.Use[name]
-		if w.Waiting == 0 && (u.InFlight > 0 || worth(u) > 0.5) {
+		if w.Waiting == 0 && (u.InFlight > 0 || worth(u) >= wishGain*w.Worth) {
 			continue
 		}
 		if u.InFlight > 0 && in.Now.Sub(w.Since) < patience {
--- a/internal/upstream/asked.go
+++ b/internal/upstream/asked.go
@@ -14,15 +14,28 @@
 // askedFor is a decayed count of requests for a model or adapter.
 type askedFor struct {
 	count float64
-	at    time.Time
+	// prefill is the time in ms that an engine needs for their prompts.
+	prefill float64
+	at      time.Time
+	// wished is when another copy was last asked for.
+	wished time.Time
 }
 
-func (a *askedFor) value(now time.Time) float64 {
-	return a.count * math.Exp2(-now.Sub(a.at).Seconds()/askedHalfLife.Seconds())
+func (a *askedFor) decay(now time.Time) float64 {
+	return math.Exp2(-now.Sub(a.at).Seconds() / askedHalfLife.Seconds())
 }
 
-func (a *askedFor) add(now time.Time) {
-	a.count, a.at = a.value(now)+1, now
+func (a *askedFor) value(now time.Time) float64 { return a.count * a.decay(now) }
+
+func (a *askedFor) add(prefill float64, now time.Time) {
+	d := a.decay(now)
+	a.count, a.prefill, a.at = a.count*d+1, a.prefill*d+prefill, now
+}
+
+// busy is the share of one engine's time that the prompts take.
+func (a *askedFor) busy(now time.Time) float64 {
+	mean := askedHalfLife.Seconds() / math.Ln2 * 1000
+	return a.prefill * a.decay(now) / mean
 }
 
 // Asked counts a caller's request for a model or adapter.
@@ -33,9 +46,10 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.askedOf(q.Model).add(now)
+	prefill := float64(q.TokensIn) / prefillTokensPerMS
+	p.askedOf(q.Model).add(prefill, now)
 	if q.Adapter != "" {
-		p.askedOf(q.Name()).add(now)
+		p.askedOf(q.Name()).add(prefill, now)
 	}
 }
 
--- a/internal/upstream/choice.go
+++ b/internal/upstream/choice.go
@@ -19,8 +19,10 @@
 	Delay time.Duration
 	// Uncached is how many tokens of the prompt the upstream must read.
 	Uncached int
-	// Replica is another upstream worth loading the model at, or nil.
+	// Replica is another upstream worth loading the model at, or nil, and Worth
+	// the demand that the copy would carry.
 	Replica *Choice
+	Worth   float64
 }
 
 // Shortage tells why no upstream can be chosen.
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -17,6 +17,8 @@
 	Unreachable
 	// Broken is a connection that ended, or bytes that are no answer.
 	Broken
+	// Stalled is an attempt that was given up because nothing came.
+	Stalled
 	// Replaced is another start of an upstream at the address.
 	Replaced
 	// Abandoned is an attempt that the caller or a bound ended.
@@ -56,7 +58,7 @@
 	case Errored:
 		h.failing += failureWeight * (1 - h.failing)
 		h.lost = 0
-	case Broken:
+	case Broken, Stalled:
 		h.failing += failureWeight * (1 - h.failing)
 	case Unreachable:
 		h.failing += failureWeight * (1 - h.failing)
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -84,9 +84,45 @@
 	return cmp.Or(cmp.Compare(a.delay, b.delay), cmp.Compare(a.rank, b.rank))
 }
 
-// replicaDelay is the share of the objective above which another copy of a
-// model is worth its load.
-const replicaDelay = 0.4
+// Figures for further copies of a model.
+const (
+	// replicaDelay is the share of the objective above which another copy of a
+	// model is worth its load.
+	replicaDelay = 0.4
+	// replicaBusy is the share of an engine's time that prompts of a model may
+	// take at each copy. Each piece of a prompt delays the tokens of all streams
+	// that the engine runs: at a third of its time their events come half a
+	// second apart.
+	replicaBusy = 0.2
+	// replicaPause is the time between two wishes for copies of one model; a load
+	// from disk takes less than a second.
+	replicaPause = 700 * time.Millisecond
+)
+
+// replica returns an engine at which another copy of the model is worth its
+// load. This instance's demand stands for that of every other one.
+func (p *Pool) replica(q *Query, best candidate, copies int, other []candidate, now time.Time) *Choice {
+	a := p.askedOf(q.Model)
+	if now.Sub(a.wished) < replicaPause {
+		return nil
+	}
+	entries := float64(max(1, p.view.Entries()))
+	slow := float64(best.delay) > replicaDelay*float64(q.Objective)
+	if !slow && a.busy(now)*entries/float64(copies) < replicaBusy {
+		return nil
+	}
+	r := p.fastestLoad(q, other, now)
+	if r == nil || r.LoadTime > maxReplicaLoad {
+		return nil
+	}
+	a.wished = now
+	r.Worth = a.value(now) * entries / float64(copies+1)
+	return r
+}
+
+// maxReplicaLoad keeps copies for load from coming out of the weight store,
+// whose rate models without any copy need.
+const maxReplicaLoad = 4 * time.Second
 
 // pickEngine prefers an engine that holds the model. Where none does, or all
 // that do are slow, it names the engine at which a load is ready first.
@@ -103,9 +139,7 @@
 		best := slices.MinFunc(holding, byDelay)
 		choice := best.choice()
 		choice.Load = !best.adapter
-		if float64(best.delay) > replicaDelay*float64(q.Objective) {
-			choice.Replica = p.fastestLoad(q, other, now)
-		}
+		choice.Replica = p.replica(q, best, len(holding), other, now)
 		return choice, Shortage{}
 	}
 	if choice := p.fastestLoad(q, other, now); choice != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -109,14 +109,44 @@
 	defer p.mu.Unlock()
 	if s, ok := p.states[upstreamID]; ok {
 		s.agent, s.agentAt = st, time.Now()
+		if st.Known {
+			s.heardAt = s.agentAt
+		}
+	}
+}
+
+// AgentLost notes that an agent does not answer. If its whole machine is silent,
+// so is the engine on it, as far as this instance can tell.
+func (p *Pool) AgentLost(upstreamID string, silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.states[upstreamID]
+	switch {
+	case !ok:
+	case !silent:
+		s.heardAt = time.Now()
+	case !s.silent():
+		s.silentSince = time.Now()
 	}
 }
 
+// Silent reports whether an upstream has stopped to answer anyone here.
+func (p *Pool) Silent(upstreamID string) bool {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.states[upstreamID]
+	return ok && (s.silent() || s.lost(now))
+}
+
 // usable reports whether new work may go to the upstream.
 func (p *Pool) usable(s *state, now time.Time) bool {
 	if _, listed := p.view.Upstreams[s.up.ID]; !listed {
 		return false
 	}
+	if s.silent() || s.lost(now) {
+		return false
+	}
 	return !s.up.Draining && !p.view.Evacuated[s.up.DataCentre] && !now.Before(s.health.ejectedUntil) &&
 		(s.agent == nil || !s.agentKnows(now) || !s.agent.Draining)
 }
@@ -188,11 +218,19 @@
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	t.read()
+	t.state.heardAt = time.Now()
 	if a.HasLoad {
 		t.state.headRunning, t.state.headWaiting, t.state.headAt = a.Running, a.Waiting, time.Now()
 	}
 }
 
+// Heard notes that more of the answer came.
+func (t *Ticket) Heard() {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	t.state.heardAt = time.Now()
+}
+
 func (t *Ticket) read() {
 	t.state.pendingTokens -= t.pending
 	t.pending = 0
--- /dev/null
+++ b/internal/upstream/pool_test.go
@@ -0,0 +1,411 @@
+package upstream
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jacinthbend/jacinthbend/internal/agentapi"
+	"github.com/jacinthbend/jacinthbend/internal/fleet"
+)
+
+const objective = 800 * time.Millisecond
+
+// testView has n engines with agents and entries entry instances. Engine i-0
+// holds model m, every engine has m and d on disk, only i-1 has d in memory, and
+// no engine has r.
+func testView(n, entries int) *fleet.View {
+	v := &fleet.View{
+		Upstreams: make(map[string]*fleet.Upstream), Evacuated: make(map[string]bool), Members: make(map[string]fleet.Member),
+		Config: &fleet.Config{Version: 1, Services: map[string]fleet.Service{
+			"e": {Name: "e", ColdRate: 6.9, Engine: &fleet.Engine{WeightsMB: 100, MaxAdapters: 4, Models: map[string]fleet.Model{
+				"m": {Name: "m", FromStore: 6 * time.Second, FromDisk: 800 * time.Millisecond, FromMemory: 400 * time.Millisecond},
+				"d": {Name: "d", FromStore: 6 * time.Second, FromDisk: 800 * time.Millisecond, FromMemory: 400 * time.Millisecond},
+				"r": {Name: "r", FromStore: 6 * time.Second, FromDisk: 800 * time.Millisecond, FromMemory: 400 * time.Millisecond},
+			}}},
+			"p": {Name: "p"},
+		}},
+	}
+	for i := range n {
+		id := fmt.Sprintf("i-%d", i)
+		h := &fleet.Holdings{Adapters: map[string][]string{}, OnDisk: []string{"d", "m"}}
+		if i == 0 {
+			h.Adapters["m"] = []string{"a1"}
+		}
+		if i == 1 {
+			h.InMemory = []string{"d"}
+		}
+		v.Upstreams[id] = &fleet.Upstream{ID: id, Born: 1, Service: "e", Addr: fmt.Sprintf("10.0.0.%d:1", i+1), DataCentre: fmt.Sprintf("z%d", i%3), Capacity: 64, Holdings: h}
+		v.Members["a-"+id] = fleet.Member{Name: "a-" + id, Role: fleet.RoleAgent, Addr: fmt.Sprintf("10.0.0.%d:2", i+1), UpstreamAddr: v.Upstreams[id].Addr}
+	}
+	for i := range entries {
+		name := fmt.Sprintf("entry-%d", i)
+		v.Members[name] = fleet.Member{Name: name, Role: fleet.RoleEntry}
+	}
+	return v
+}
+
+func newPool(v *fleet.View) *Pool {
+	p := NewPool("z0", Bounds{ColdOver: 1.5, ColdSlack: 5})
+	p.Update(v)
+	return p
+}
+
+func engineQuery(model, adapter string) *Query {
+	return &Query{Service: "e", Model: model, Adapter: adapter, TokensIn: 1000, Objective: objective, DataCentre: "z0", Tried: make(map[string]bool)}
+}
+
+// TestHolderFirst guards against a load of a model that an engine holds.
+func TestHolderFirst(t *testing.T) {
+	check := is.New(t)
+	p := newPool(testView(4, 1))
+	c, _ := p.Pick(engineQuery("m", ""))
+	check.Equal(c.Upstream.ID, "i-0")
+	check.True(!c.Load)
+	c, _ = p.Pick(engineQuery("m", "a1"))
+	check.True(!c.Load)
+	c, _ = p.Pick(engineQuery("m", "a2"))
+	check.Equal(c.Upstream.ID, "i-0")
+	check.True(c.Load) // the adapter is missing
+}
+
+// TestLoadWhereFastest guards against a load from the weight store while an
+// engine has the weights at hand, and against entry instances that ask different
+// engines for one model.
+func TestLoadWhereFastest(t *testing.T) {
+	check := is.New(t)
+	v := testView(6, 1)
+	c, _ := newPool(v).Pick(engineQuery("d", ""))
+	check.Equal(c.Upstream.ID, "i-1") // in memory
+	check.True(c.Load)
+	first, _ := newPool(v).Pick(engineQuery("r", ""))
+	for range 20 {
+		c, _ := newPool(v).Pick(engineQuery("r", ""))
+		check.Equal(c.Upstream.ID, first.Upstream.ID) // ties are broken alike
+	}
+}
+
+// TestLoadInProgress guards against a second load of a model that is being
+// loaded elsewhere.
+func TestLoadInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		p := newPool(testView(4, 1))
+		p.Heard("i-3", &agentapi.State{Known: true, Born: 1, Loading: "r", LoadingLeftMS: 2000, Holdings: &fleet.Holdings{}})
+		c, _ := p.Pick(engineQuery("r", ""))
+		check.Equal(c.Upstream.ID, "i-3")
+	})
+}
+
+// TestReplica guards against a burst for one model that queues at its only
+// engine while others idle, against copies for a model in calm use, and against
+// a wish with every request.
+func TestReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		p := newPool(testView(4, 1))
+		q := engineQuery("m", "")
+		q.TokensIn = 9000
+		q.Objective = 3 * time.Second
+		p.Asked(q)
+		c, _ := p.Pick(q)
+		check.True(c.Replica == nil)
+		q.Objective = objective
+		for range 3 {
+			p.Asked(q)
+			c, _ := p.Pick(q)
+			ticket, _ := p.Begin(c, q)
+			check.True(ticket != nil)
+		}
+		time.Sleep(replicaPause)
+		c, _ = p.Pick(q)
+		check.Equal(c.Upstream.ID, "i-0")
+		check.True(c.Replica != nil)
+		check.True(c.Replica.Upstream.ID != "i-0")
+		check.True(c.Replica.Worth > 0)
+		c, _ = p.Pick(q)
+		check.True(c.Replica == nil)
+	})
+}
+
+// TestReplicaForSteadyDemand guards against prompts that take so much of one
+// engine's time that the events of its streams come too far apart, although no
+// request waits long.
+func TestReplicaForSteadyDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		p := newPool(testView(4, 1))
+		q := engineQuery("m", "")
+		q.TokensIn = 9000
+		wished := 0
+		for range 60 {
+			p.Asked(q)
+			c, _ := p.Pick(q)
+			if c.Replica != nil {
+				wished++
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		check.True(wished > 5)
+	})
+}
+
+// TestOrphans guards against a model whose first request waits for the weight
+// store, and against loads of models that a silent agent may have.
+func TestOrphans(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		p := newPool(testView(3, 1))
+		check.Equal(len(p.Orphans()), 0) // no agent was heard
+		for i := range 3 {
+			st := &agentapi.State{Known: true, Born: 1, Holdings: &fleet.Holdings{Adapters: map[string][]string{"m": nil}}}
+			if i == 2 {
+				st.Holdings.OnDisk = []string{"d"}
+			}
+			p.Heard(fmt.Sprintf("i-%d", i), st)
+		}
+		got := p.Orphans()
+		check.Equal(len(got), 1)
+		check.Equal(got[0].Model, "r")
+		p.Heard("i-1", &agentapi.State{Known: true, Born: 1, Loading: "r", Holdings: &fleet.Holdings{}})
+		check.Equal(len(p.Orphans()), 0)
+	})
+}
+
+// TestPrefix guards against a prompt that is read again at another engine.
+func TestPrefix(t *testing.T) {
+	check := is.New(t)
+	v := testView(4, 1)
+	for _, u := range v.Upstreams {
+		u.Holdings.Adapters["m"] = nil
+		u.DataCentre = "z0"
+	}
+	p := newPool(v)
+	q := engineQuery("m", "")
+	q.TokensIn, q.Prompt = 9000, []fleet.PromptPart{{ID: "a", Tokens: 2500}, {ID: "b", Tokens: 3800}, {ID: "c", Tokens: 2700}}
+	first, _ := p.Pick(q)
+	ticket, _ := p.Begin(first, q)
+	ticket.End(Served)
+	q.Prompt = []fleet.PromptPart{{ID: "a", Tokens: 2500}, {ID: "b", Tokens: 3800}, {ID: "d", Tokens: 2700}}
+	c, _ := p.Pick(q)
+	check.Equal(c.Upstream.ID, first.Upstream.ID)
+	check.Equal(c.Uncached, 9000-2500-3800)
+}
+
+// TestUnusable guards against work for an upstream that leaves, is out, was
+// replaced or cannot be reached (H9, H13).
+func TestUnusable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		for name, change := range map[string]func(*fleet.View, *Pool){
+			"draining":   func(v *fleet.View, _ *Pool) { v.Upstreams["i-0"].Draining = true },
+			"evacuated":  func(v *fleet.View, _ *Pool) { v.Evacuated["z0"] = true },
+			"not listed": func(v *fleet.View, _ *Pool) { delete(v.Upstreams, "i-0") },
+			"agent says so": func(_ *fleet.View, p *Pool) {
+				p.Heard("i-0", &agentapi.State{Known: true, Born: 1, Draining: true, Holdings: &fleet.Holdings{}})
+			},
+		} {
+			p := newPool(testView(1, 1))
+			c, _ := p.Pick(engineQuery("m", ""))
+			check.True(c != nil)
+			v := testView(1, 1)
+			change(v, p)
+			p.Update(v)
+			got, _ := p.Pick(engineQuery("m", ""))
+			if got != nil {
+				t.Fatalf("%s: chosen", name)
+			}
+			if ticket, _ := p.Begin(c, engineQuery("m", "")); ticket != nil {
+				t.Fatalf("%s: an old choice is used", name)
+			}
+		}
+		for name, hear := range map[string]func(*Pool){
+			"machine silent": func(p *Pool) { p.AgentLost("i-0", true) },
+			"engine silent":  func(p *Pool) { p.Heard("i-0", &agentapi.State{}) },
+		} {
+			p := newPool(testView(1, 1))
+			q := engineQuery("m", "")
+			c, _ := p.Pick(q)
+			ticket, _ := p.Begin(c, q)
+			hear(p)
+			if got, _ := p.Pick(q); got != nil || !p.Silent("i-0") {
+				t.Fatalf("%s: chosen", name)
+			}
+			time.Sleep(time.Millisecond)
+			ticket.Heard()
+			got, _ := p.Pick(q)
+			check.True(got != nil) // the engine answers though its agent does not
+		}
+		p := newPool(testView(1, 1))
+		q := engineQuery("m", "")
+		c, _ := p.Pick(q)
+		p.AgentLost("i-0", false)
+		check.True(!p.Silent("i-0")) // only the agent's process is gone
+		ticket, _ := p.Begin(c, q)
+		ticket.End(Unreachable)
+		c, _ = p.Pick(q)
+		check.True(c == nil)
+		time.Sleep(firstEjection)
+		c, _ = p.Pick(q)
+		check.True(c != nil)
+	})
+}
+
+// TestColdShare guards against a cold upstream that gets more than it bears
+// from all instances together, in any second, whenever requests come (H8).
+func TestColdShare(t *testing.T) {
+	const entries = 4
+	const bound = 6.9*1.5 + 5
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		v := testView(1, entries)
+		v.Upstreams["i-0"].ColdMS = 30000
+		pools := make([]*Pool, entries)
+		for i := range pools {
+			pools[i] = newPool(v)
+		}
+		var sent []time.Time
+		rng := rand.New(rand.NewPCG(1, 2))
+		for range 3000 {
+			time.Sleep(time.Duration(rng.IntN(8)) * time.Millisecond)
+			p := pools[rng.IntN(entries)]
+			c, _ := p.Pick(engineQuery("m", ""))
+			if c == nil {
+				continue
+			}
+			if ticket, _ := p.Begin(c, engineQuery("m", "")); ticket != nil {
+				sent = append(sent, time.Now())
+			}
+		}
+		check.True(len(sent) > 60) // the upstream is not left idle
+		for i, first := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at.Sub(first) < time.Second {
+					n++
+				}
+			}
+			check.True(float64(n) <= bound)
+		}
+	})
+}
+
+// TestColdBurst guards against requests that were chosen for one upstream
+// before a load and are all sent when it ends.
+func TestColdBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		v := testView(1, 4)
+		v.Upstreams["i-0"].ColdMS = 30000
+		p := newPool(v)
+		c, _ := p.Pick(engineQuery("m", ""))
+		begun := 0
+		for range 30 {
+			if ticket, _ := p.Begin(c, engineQuery("m", "")); ticket != nil {
+				begun++
+			}
+		}
+		check.Equal(begun, 3) // 0.8 of 15.35 for four instances
+	})
+}
+
+// TestColdAgain guards against a full load for an upstream that may have
+// restarted: its data centre was out, or it could not be reached.
+func TestColdAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		v := testView(1, 1)
+		p := newPool(v)
+		out := testView(1, 1)
+		out.Evacuated["z0"] = true
+		p.Update(out)
+		p.Update(v)
+		check.True(p.states["i-0"].cold(time.Now()))
+		time.Sleep(coldAfterReturn)
+		check.True(!p.states["i-0"].cold(time.Now()))
+	})
+}
+
+// TestPlainUpstreams guards against requests that pile up at one upstream of a
+// service without models, and against one that fails all of them.
+func TestPlainUpstreams(t *testing.T) {
+	check := is.New(t)
+	v := testView(0, 1)
+	for i := range 3 {
+		id := fmt.Sprintf("p-%d", i)
+		v.Upstreams[id] = &fleet.Upstream{ID: id, Service: "p", Addr: "10.0.1.1:1", DataCentre: "z0", Capacity: 6}
+	}
+	p := newPool(v)
+	got := make(map[string]int)
+	for range 30 {
+		q := &Query{Service: "p", Tried: map[string]bool{}, DataCentre: "z0"}
+		c, _ := p.Pick(q)
+		got[c.Upstream.ID]++
+		_, _ = p.Begin(c, q)
+	}
+	check.Equal(len(got), 3)
+	for _, n := range got {
+		check.Equal(n, 10)
+	}
+	p = newPool(v)
+	for range 40 {
+		q := &Query{Service: "p", Tried: map[string]bool{}, DataCentre: "z0"}
+		c, _ := p.Pick(q)
+		ticket, _ := p.Begin(c, q)
+		if c.Upstream.ID == "p-0" {
+			ticket.End(Errored)
+			got["failed"]++
+			continue
+		}
+		ticket.End(Served)
+	}
+	check.True(got["failed"] < 8) // most requests go to those that serve
+}
+
+// TestMissingAndLoaded guards against requests that go on to an engine which
+// has said that it lacks the model, until its next report.
+func TestMissingAndLoaded(t *testing.T) {
+	check := is.New(t)
+	p := newPool(testView(2, 1))
+	p.Missing("i-0", "m", "")
+	c, _ := p.Pick(engineQuery("m", ""))
+	check.True(c.Load)
+	p.Loaded("i-1", "m", "")
+	c, _ = p.Pick(engineQuery("m", ""))
+	check.Equal(c.Upstream.ID, "i-1")
+	check.True(!c.Load)
+	p.Loaded("i-1", "m", "a9")
+	c, _ = p.Pick(engineQuery("m", "a9"))
+	check.True(!c.Load)
+	p.Missing("i-1", "m", "a9")
+	c, _ = p.Pick(engineQuery("m", "a9"))
+	check.True(c.Load)
+}
+
+// TestDemand guards against an agent that does not learn which of its models
+// are in use.
+func TestDemand(t *testing.T) {
+	check := is.New(t)
+	p := newPool(testView(2, 1))
+	q := engineQuery("m", "a1")
+	p.Asked(q)
+	c, _ := p.Pick(q)
+	ticket, _ := p.Begin(c, q)
+	byName := make(map[string]agentapi.Demand)
+	for _, d := range p.Demand("i-0") {
+		byName[d.Name] = d
+	}
+	check.Equal(byName["m/a1"].InFlight, 1)
+	check.Equal(byName["m/a1"].Recent, 1)
+	check.Equal(byName["m/a1"].Copies, 1)
+	check.True(byName["m"].Asked > 0.9)
+	ticket.End(Served)
+	for _, d := range p.Demand("i-0") {
+		check.Equal(d.InFlight, 0)
+		check.Equal(d.Recent, 0)
+	}
+}
--- a/internal/upstream/score.go
+++ b/internal/upstream/score.go
@@ -17,6 +17,9 @@
 	queuedMS = 120.0
 	// runningMS is what a running request adds to each step.
 	runningMS = 1.5
+	// disturbance is how much of the time of reading a prompt counts for each
+	// running request, whose tokens wait meanwhile.
+	disturbance = 0.05
 	// farMS is what another data centre adds, with the price of its traffic.
 	farMS = 4.0
 	// failingMS is what an upstream that fails all its requests adds.
@@ -43,7 +46,7 @@
 // own requests count at once, reports of all callers when they come.
 func engineDelay(l load, uncached int) time.Duration {
 	ms := float64(l.pendingTokens+uncached)/prefillTokensPerMS + float64(l.queued)*queuedMS +
-		float64(max(l.running, l.inFlight))*runningMS + l.failing*failingMS
+		float64(max(l.running, l.inFlight))*(runningMS+disturbance*float64(uncached)/prefillTokensPerMS) + l.failing*failingMS
 	if l.far {
 		ms += farMS
 	}
--- a/internal/upstream/state.go
+++ b/internal/upstream/state.go
@@ -26,6 +26,10 @@
 	pendingTokens int
 	byName        map[string]*use
 
+	// heardAt is when the upstream or its agent last sent anything, silentSince
+	// when the agent's machine stopped to answer.
+	heardAt, silentSince time.Time
+
 	agentAddr string
 	agent     *agentapi.State
 	agentAt   time.Time
@@ -88,3 +92,14 @@
 	}
 	return max(0, time.Duration(s.agent.LoadingLeftMS)*time.Millisecond-now.Sub(s.agentAt))
 }
+
+// silent reports whether nothing has come from the upstream or its agent since
+// the agent's machine stopped to answer.
+func (s *state) silent() bool {
+	return !s.silentSince.IsZero() && !s.heardAt.After(s.silentSince)
+}
+
+// lost reports whether the agent says that the engine beside it does not answer.
+func (s *state) lost(now time.Time) bool {
+	return s.agent != nil && !s.agent.Known && now.Sub(s.agentAt) < agentStateAge && !s.heardAt.After(s.agentAt)
+}
