Read the list of upstreams from one instance, and states without what has not changed

Change: one entry instance in 16 reads the list and answers the others; one that is not fresh within 0.8 s is passed over. Operators' records are still read from the store by each, since a waiting read hides a cut for seconds. Ruled out: relaying the operators' topic too; a leader that is cut off would keep a withdrawn key in force for 3.2 s, the bound is 2 s. Also: OPERATIONS.md for the platform, with a test that follows its path.

--- a/internal/agentapi/state.go
+++ b/internal/agentapi/state.go
@@ -11,13 +11,15 @@
 
 // State is what an agent knows of its upstream.
 type State struct {
-	// Version rises with each change in one incarnation of the agent.
-	Version uint64 `json:"version"`
+	// Incarnation is one start of the agent, and Version rises with each change in it.
+	Incarnation int64  `json:"incarnation"`
+	Version     uint64 `json:"version"`
 	// Known tells whether the upstream has answered; the rest is empty otherwise.
 	Known bool `json:"known"`
 	// Born tells the starts of the upstream apart, in Unix milliseconds.
-	Born     int64           `json:"born"`
-	Holdings *fleet.Holdings `json:"holdings"`
+	Born int64 `json:"born"`
+	// Holdings is left out when it has not changed since the version asked for.
+	Holdings *fleet.Holdings `json:"holdings,omitempty"`
 	// Loading is the model of the order that is being carried out, or empty.
 	Loading string `json:"loading,omitempty"`
 	// LoadingLeftMS is the estimated time until it is done, in ms.
@@ -33,15 +35,18 @@
 // StateRequest asks for a state newer than After and tells what the entry
 // instance sends to the upstream.
 type StateRequest struct {
-	From  string `json:"from"`
-	After uint64 `json:"after"`
+	From string `json:"from"`
+	// Incarnation and After are of the last state that the caller has.
+	Incarnation int64  `json:"incarnation"`
+	After       uint64 `json:"after"`
 	// WaitMS is how long the call may wait for a newer state, in ms.
 	WaitMS int `json:"wait_ms"`
 	// Engines is how many engines share the weight store, and Rank the place of
 	// this one among them, from 0.
-	Engines int      `json:"engines"`
-	Rank    int      `json:"rank"`
-	Demand  []Demand `json:"demand,omitempty"`
+	Engines int `json:"engines"`
+	Rank    int `json:"rank"`
+	// Demand leaves out what nobody asks for.
+	Demand []Demand `json:"demand,omitempty"`
 }
 
 // Demand is what one entry instance sees of a model or adapter at an upstream.
--- a/internal/agentlink/watcher.go
+++ b/internal/agentlink/watcher.go
@@ -80,13 +80,13 @@
 }
 
 func (w *Watcher) follow(ctx context.Context, a upstream.Agent) {
-	var after uint64
+	var last agentapi.State
 	lost := false
 	for ctx.Err() == nil {
 		start := time.Now()
 		engines, rank := w.engines(a.UpstreamID)
 		st, err := w.client.state(ctx, a.Addr, agentapi.StateRequest{
-			From: w.self, After: after, WaitMS: int(stateWait.Milliseconds()),
+			From: w.self, Incarnation: last.Incarnation, After: last.Version, WaitMS: int(stateWait.Milliseconds()),
 			Engines: engines, Rank: rank, Demand: w.pool.Demand(a.UpstreamID),
 		})
 		if ctx.Err() != nil {
@@ -97,7 +97,7 @@
 			if !lost {
 				w.logger.Warn("agent lost", zap.String("upstream", a.UpstreamID), zap.String("addr", a.Addr), telemetry.Err(err))
 			}
-			after, pause = 0, lostPause
+			last, pause = agentapi.State{}, lostPause
 			// A call that fails at once was refused by the machine, so the engine on it
 			// may be well; one that runs into its bound was not heard.
 			w.pool.AgentLost(a.UpstreamID, time.Since(start) >= stateWait)
@@ -105,7 +105,10 @@
 			if lost {
 				w.logger.Info("agent regained", zap.String("upstream", a.UpstreamID), zap.String("addr", a.Addr))
 			}
-			after = st.Version
+			if st.Holdings == nil && st.Incarnation == last.Incarnation && st.Born == last.Born {
+				st.Holdings = last.Holdings
+			}
+			last = *st
 			w.pool.Heard(a.UpstreamID, st)
 		}
 		lost = err != nil
--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -50,6 +50,10 @@
 	report  fleet.EngineReport
 	id      string
 	version uint64
+	// incarnation is this start of the agent, held the version at which the
+	// holdings changed last.
+	incarnation int64
+	held        uint64
 	// changed is closed with each new version.
 	changed chan struct{}
 	wake    chan struct{}
@@ -68,7 +72,7 @@
 // New returns an agent that gives no orders until SetFence is called.
 func New(o Options) *Agent {
 	a := &Agent{
-		Options: o, changed: make(chan struct{}), wake: make(chan struct{}, 1), wants: make(wants), demand: newDemand(),
+		Options: o, incarnation: time.Now().UnixNano(), changed: make(chan struct{}), wake: make(chan struct{}, 1), wants: make(wants), demand: newDemand(),
 		store: storeWindow{bounds: o.Store},
 	}
 	if !o.Fresh {
@@ -165,18 +169,28 @@
 			delete(a.demand.loadedAt, name)
 		}
 	}
-	differs := !a.known || !sameState(a.report, r)
+	differs, moved := !a.known || !sameState(a.report, r), !a.known || !sameHoldings(a.report, r)
 	a.known, a.report = true, r
-	if differs {
+	if differs || moved {
 		a.publish()
 	}
+	if moved {
+		a.held = a.version
+	}
 }
 
-// sameState reports whether entry instances need not hear of b after a. The
-// load is news only when it has changed by some requests.
+// sameState reports whether entry instances need not hear of b after a, apart
+// from the holdings. The load is news only when it has changed by some requests.
 func sameState(a, b fleet.EngineReport) bool {
 	const some = 2
-	if a.Born != b.Born || a.Busy != b.Busy || a.Draining != b.Draining || len(a.Holdings.Adapters) != len(b.Holdings.Adapters) {
+	near := func(x, y int) bool { return x-y < some && y-x < some }
+	return a.Busy == b.Busy && a.Draining == b.Draining && near(a.Queued, b.Queued) && near(a.Running, b.Running)
+}
+
+// sameHoldings reports whether an engine holds the same in both reports.
+func sameHoldings(a, b fleet.EngineReport) bool {
+	if a.Born != b.Born || len(a.Holdings.Adapters) != len(b.Holdings.Adapters) ||
+		!slices.Equal(a.Holdings.InMemory, b.Holdings.InMemory) || !slices.Equal(a.Holdings.OnDisk, b.Holdings.OnDisk) {
 		return false
 	}
 	for name, adapters := range a.Holdings.Adapters {
@@ -184,8 +198,7 @@
 			return false
 		}
 	}
-	near := func(x, y int) bool { return x-y < some && y-x < some }
-	return near(a.Queued, b.Queued) && near(a.Running, b.Running)
+	return true
 }
 
 // publish makes a new version known. The caller holds the lock.
--- a/internal/engineagent/agent_test.go
+++ b/internal/engineagent/agent_test.go
@@ -339,14 +339,41 @@
 	play(t, e, 1, func(check *is.I, a *Agent) {
 		st := a.State()
 		start := time.Now()
-		next, err := a.ServeState(context.Background(), agentapi.StateRequest{From: "e1", After: st.Version, WaitMS: 500, Engines: 4})
+		next, err := a.ServeState(context.Background(), agentapi.StateRequest{From: "e1", Incarnation: st.Incarnation, After: st.Version, WaitMS: 500, Engines: 4})
 		check.NoErr(err)
 		check.Equal(next.Version, st.Version)
 		check.Equal(time.Since(start), 500*time.Millisecond)
 		go func() { _ = ensure(a, "b", "", 2*time.Second) }()
-		next, err = a.ServeState(context.Background(), agentapi.StateRequest{From: "e1", After: st.Version, WaitMS: 500, Engines: 4})
+		next, err = a.ServeState(context.Background(), agentapi.StateRequest{From: "e1", Incarnation: st.Incarnation, After: st.Version, WaitMS: 500, Engines: 4})
 		check.NoErr(err)
+		check.True(next.Holdings == nil) // a model is on its way, none has come
 		check.Equal(next.Loading, "b")
 		check.True(next.LoadingLeftMS > 0)
 	})
 }
+
+// TestStateWithoutHoldings guards against an entry instance that takes an old
+// list of models for the present one: after a change, a restart of the agent, or
+// one of the engine.
+func TestStateWithoutHoldings(t *testing.T) {
+	e := newFakeEngine("a")
+	play(t, e, 1, func(check *is.I, a *Agent) {
+		ask := func(incarnation int64, after uint64) agentapi.State {
+			st, err := a.ServeState(context.Background(), agentapi.StateRequest{From: "e1", Incarnation: incarnation, After: after})
+			check.NoErr(err)
+			return st
+		}
+		first := ask(0, 0)
+		check.True(first.Holdings.HasModel("a"))
+		check.True(ask(first.Incarnation, first.Version).Holdings == nil)
+		check.True(ask(first.Incarnation+1, first.Version).Holdings != nil)
+		check.True(ensure(a, "b", "", 2*time.Second).Loaded)
+		second := ask(first.Incarnation, first.Version)
+		check.True(second.Holdings.HasModel("b"))
+		e.mu.Lock()
+		e.report = fleet.EngineReport{Born: 2, Holdings: fleet.Holdings{Adapters: map[string][]string{"a": nil, "b": nil}}}
+		e.mu.Unlock()
+		time.Sleep(time.Second)
+		check.True(ask(first.Incarnation, second.Version).Holdings != nil)
+	})
+}
--- a/internal/engineagent/calls.go
+++ b/internal/engineagent/calls.go
@@ -23,7 +23,8 @@
 	a.mu.Lock()
 	a.demand.heard(req.From, req.Demand, time.Now())
 	a.sharing = sharing{engines: req.Engines, rank: req.Rank}
-	changed, fresh := a.changed, a.version != req.After
+	changed := a.changed
+	fresh := a.version != req.After || a.incarnation != req.Incarnation
 	a.mu.Unlock()
 	if !fresh && req.WaitMS > 0 {
 		t := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
@@ -34,7 +35,18 @@
 		case <-t.C:
 		}
 	}
-	return a.State(), nil
+	return a.stateFor(req), nil
+}
+
+// stateFor leaves out the holdings that the caller has.
+func (a *Agent) stateFor(req agentapi.StateRequest) agentapi.State {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	st := a.state(time.Now())
+	if req.Incarnation == a.incarnation && req.After >= a.held {
+		st.Holdings = nil
+	}
+	return st
 }
 
 // ServeEnsure answers when the model, and the adapter if one is named, is
@@ -136,7 +148,7 @@
 }
 
 func (a *Agent) state(now time.Time) agentapi.State {
-	st := agentapi.State{Version: a.version, Known: a.known}
+	st := agentapi.State{Incarnation: a.incarnation, Version: a.version, Known: a.known}
 	if !a.known {
 		return st
 	}
--- a/internal/engineagent/orders.go
+++ b/internal/engineagent/orders.go
@@ -183,6 +183,7 @@
 		}
 		a.report.Holdings.Adapters = rest
 		a.publish()
+		a.held = a.version
 	}
 }
 
@@ -196,4 +197,5 @@
 	}
 	a.report.Holdings.Adapters = rest
 	a.publish()
+	a.held = a.version
 }
--- a/internal/entrylink/client.go
+++ b/internal/entrylink/client.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
@@ -17,7 +19,11 @@
 const (
 	// borrowTimeout is some round trips of a region; a request waits for it.
 	borrowTimeout = 80 * time.Millisecond
-	topicTimeout  = 500 * time.Millisecond
+	// readTimeout ends a call on a connection that went silent.
+	readTimeout  = 2 * time.Second
+	topicTimeout = 500 * time.Millisecond
+	// relayMargin is added to the wait of a read from another instance.
+	relayMargin = 150 * time.Millisecond
 	// avoidFor keeps an instance that did not answer from being asked.
 	avoidFor = time.Second
 	// mostLenders bounds the calls for one request.
@@ -37,7 +43,7 @@
 // NewClient returns a client of the instance named self; views gives the
 // members to call.
 func NewClient(self string, views func() *fleet.View) (*Client, error) {
-	calls, err := peer.NewClient(topicTimeout)
+	calls, err := peer.NewClient(readTimeout)
 	if err != nil {
 		return nil, err
 	}
@@ -109,6 +115,53 @@
 	return topic.Page{}, errors.New("no other entry instance answered")
 }
 
+// readersPerInstance is how many instances read from one that reads the store.
+const readersPerInstance = 16
+
+// relay returns the instance that this one reads from, or false if it reads the
+// store itself. All instances see the same members, so they agree without
+// talking to each other; one that does not answer is left out for a while.
+func (c *Client) relay() (fleet.Member, bool) {
+	v := c.views()
+	if v == nil {
+		return fleet.Member{}, false
+	}
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var names []string
+	for _, m := range v.Members {
+		if m.Role == fleet.RoleEntry && (m.Name == c.self || now.After(c.avoid[m.Addr])) {
+			names = append(names, m.Name)
+		}
+	}
+	slices.Sort(names)
+	readers := (len(names) + readersPerInstance - 1) / readersPerInstance
+	if readers == 0 || slices.Contains(names[:readers], c.self) {
+		return fleet.Member{}, false
+	}
+	return v.Members[names[xxhash.Sum64String(c.self)%uint64(readers)]], true
+}
+
+var _ topic.Reader = (*Client)(nil)
+
+// ReadFrom implements topic.Reader.
+func (c *Client) ReadFrom(ctx context.Context, t topic.Name, from int64, wait time.Duration) (topic.Page, bool) {
+	m, ok := c.relay()
+	if !ok {
+		return topic.Page{}, false
+	}
+	call, cancel := context.WithTimeout(ctx, wait+relayMargin)
+	defer cancel()
+	var resp topicResponse
+	err := c.calls.Call(call, m.Addr, pathTopic, topicRequest{Topic: t, Fresh: true, From: from, WaitMS: wait.Milliseconds()}, &resp)
+	if err != nil || !resp.Known {
+		c.failed(m.Addr)
+		return topic.Page{}, false
+	}
+	return resp.Page, true
+}
+
 // Read implements topic.Source by listing.
 func (c *Client) Read(ctx context.Context, t topic.Name, _ int64, _ time.Duration) (topic.Page, error) {
 	return c.List(ctx, t)
--- a/internal/entrylink/messages.go
+++ b/internal/entrylink/messages.go
@@ -22,6 +22,11 @@
 // topicRequest asks for the records of a topic.
 type topicRequest struct {
 	Topic topic.Name `json:"topic"`
+	// Fresh asks only for what the instance has from the store itself, from an
+	// offset on; the call may wait for it, in ms.
+	Fresh  bool  `json:"fresh,omitempty"`
+	From   int64 `json:"from,omitempty"`
+	WaitMS int64 `json:"wait_ms,omitempty"`
 }
 
 // topicResponse has the records, unless the instance knows none.
--- a/internal/entrylink/server.go
+++ b/internal/entrylink/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/route"
 
@@ -9,6 +10,9 @@
 	"github.com/jacinthbend/jacinthbend/internal/topic"
 )
 
+// mostWait bounds a call that waits for records.
+const mostWait = 2 * time.Second
+
 // Lender gives up tokens of a team.
 type Lender interface {
 	Lend(team string, tokens float64) float64
@@ -17,6 +21,7 @@
 // Records hands out what an instance knows of a topic.
 type Records interface {
 	Snapshot(t topic.Name) (topic.Page, bool)
+	ReadHere(ctx context.Context, t topic.Name, from int64, wait time.Duration) (topic.Page, bool)
 }
 
 // Register serves the calls of other entry instances.
@@ -24,7 +29,12 @@
 	peer.Handle(r, pathBorrow, func(_ context.Context, req borrowRequest) (borrowResponse, error) {
 		return borrowResponse{Tokens: lender.Lend(req.Team, req.Tokens)}, nil
 	})
-	peer.Handle(r, pathTopic, func(_ context.Context, req topicRequest) (topicResponse, error) {
+	peer.Handle(r, pathTopic, func(ctx context.Context, req topicRequest) (topicResponse, error) {
+		if req.Fresh {
+			wait := min(mostWait, time.Duration(req.WaitMS)*time.Millisecond)
+			page, ok := records.ReadHere(ctx, req.Topic, req.From, wait)
+			return topicResponse{Known: ok, Page: page}, nil
+		}
 		page, ok := records.Snapshot(req.Topic)
 		return topicResponse{Known: ok, Page: page}, nil
 	})
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -28,10 +28,11 @@
 	}
 	if !g.Machine.Begin() && !g.acceptsLate() {
 		x.refuse(errkind.New(errkind.Draining, "the instance is shutting down"))
-	} else {
-		defer g.Machine.End()
-		x.handle()
+		x.log()
+		return
 	}
+	defer g.Machine.End()
+	x.handle()
 	x.log()
 }
 
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -17,6 +17,7 @@
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/jacinthbend/jacinthbend/internal/agentapi"
 	"github.com/jacinthbend/jacinthbend/internal/exchange"
@@ -56,6 +57,7 @@
 	loader  *loader
 	view    *fleet.View
 	pool    *upstream.Pool
+	logs    *observer.ObservedLogs
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -67,6 +69,7 @@
 // loader is an agent that loads at once, or refuses.
 type loader struct {
 	refuse bool
+	err    error
 	// hold keeps loads until it is closed; an agent does not notice that a caller
 	// has gone.
 	hold  chan struct{}
@@ -80,6 +83,12 @@
 	l.refuse = refuse
 }
 
+func (l *loader) fail(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.err = err
+}
+
 func (l *loader) holdLoads() (release func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -98,7 +107,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.asked = append(l.asked, req.Model+"/"+req.Adapter)
-	return agentapi.EnsureResponse{Loaded: !l.refuse, Reason: "refused"}, nil
+	return agentapi.EnsureResponse{Loaded: !l.refuse, Reason: "refused"}, l.err
 }
 
 var routes = []fleet.Route{
@@ -143,6 +152,8 @@
 		v.Upstreams[id] = &fleet.Upstream{ID: id, Service: "s", Addr: w.upstream(id, s), DataCentre: dc, Capacity: 8}
 	}
 	w.view, w.pool = v, upstream.NewPool("near", upstream.Bounds{})
+	core, logs := observer.New(zap.DebugLevel)
+	w.logs = logs
 	dialect := platform.Dialect{}
 	w.gateway = gateway.New(gateway.Options{
 		Dialect: dialect, Pool: w.pool,
@@ -152,7 +163,7 @@
 		}),
 		Quota:   tokenquota.NewBank(tokenquota.Bounds{Window: time.Second}, nil),
 		Repeats: retrybudget.New(retrybudget.Bounds{Slack: 50, Window: time.Second}),
-		Loader:  w.loader, Machine: w.machine, DataCentre: "near", Logger: zap.NewNop(), Stats: gateway.NewStats(metrics.NewSet()),
+		Loader:  w.loader, Machine: w.machine, DataCentre: "near", Logger: zap.New(core), Stats: gateway.NewStats(metrics.NewSet()),
 	})
 	w.gateway.Update(v)
 	check := is.New(t)
@@ -183,6 +194,13 @@
 	w.gateway.Update(&v)
 }
 
+// waitIdle waits until the gateway has ended, and logged, what callers sent.
+func (w *world) waitIdle() {
+	for w.machine.Running() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // upstream serves a scripted upstream and returns its address.
 func (w *world) upstream(id string, s script) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/settings/docs_test.go
+++ b/internal/settings/docs_test.go
@@ -66,7 +66,7 @@
 	is.New(t).NoErr(err)
 	agentExample, err := LoadAgent(filepath.Join(docs, "examples/agent.json"), nil)
 	is.New(t).NoErr(err)
-	page, err := os.ReadFile(filepath.Join(docs, "operations.md"))
+	page, err := os.ReadFile(filepath.Join(docs, "OPERATIONS.md"))
 	is.New(t).NoErr(err)
 	for _, row := range []struct {
 		part           string
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -191,10 +191,56 @@
 	}
 	changed = s.expire(now) || changed
 	if changed || first {
+		close(s.changed)
+		s.changed = make(chan struct{})
 		f.publish()
 	}
 }
 
+// Fresh is how long after an answer of the store itself an instance answers
+// other instances in its place: a little more than the pause between two reads
+// of the list of upstreams.
+const Fresh = 800 * time.Millisecond
+
+// ReadHere answers a read of another instance from the own records, as long as
+// the store itself has answered this instance within Fresh.
+func (f *Follower) ReadHere(ctx context.Context, t Name, from int64, wait time.Duration) (Page, bool) {
+	end := time.Now().Add(wait)
+	for {
+		f.mu.Lock()
+		s, ok := f.states[t]
+		if !ok || s.next < 0 || time.Since(s.direct) >= Fresh {
+			f.mu.Unlock()
+			return Page{}, false
+		}
+		page, known := s.since(from)
+		changed, stale := s.changed, s.direct.Add(Fresh)
+		f.mu.Unlock()
+		now := time.Now()
+		if !known || len(page.Items) > 0 || !now.Before(end) {
+			return page, known
+		}
+		t := time.NewTimer(min(end.Sub(now), stale.Sub(now)))
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return Page{}, false
+		case <-changed:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// Answered notes that the store itself answered a read of a topic.
+func (f *Follower) Answered(t Name) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s, ok := f.states[t]; ok {
+		s.direct = time.Now()
+	}
+}
+
 // publish builds a view from the records. The caller holds the lock.
 func (f *Follower) publish() {
 	v := &fleet.View{
--- a/internal/topic/follower_test.go
+++ b/internal/topic/follower_test.go
@@ -23,12 +23,12 @@
 	// first is the oldest record still kept.
 	first map[Name]int64
 	down  bool
-	// lists counts the lists of all topics.
-	lists int
+	// reads counts reads by topic.
+	reads map[Name]int
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{topics: make(map[Name][]Item), first: make(map[Name]int64)}
+	return &fakeStore{topics: make(map[Name][]Item), first: make(map[Name]int64), reads: make(map[Name]int)}
 }
 
 func (s *fakeStore) put(t Name, key, value string) {
@@ -43,6 +43,12 @@
 	s.down = down
 }
 
+func (s *fakeStore) count(t Name) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads[t]
+}
+
 // compact drops all records but the newest of each key.
 func (s *fakeStore) compact(t Name) {
 	s.mu.Lock()
@@ -53,7 +59,6 @@
 func (s *fakeStore) List(_ context.Context, t Name) (Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lists++
 	if s.down {
 		return Page{}, errors.New("down")
 	}
@@ -71,6 +76,9 @@
 }
 
 func (s *fakeStore) Read(ctx context.Context, t Name, from int64, wait time.Duration) (Page, error) {
+	s.mu.Lock()
+	s.reads[t]++
+	s.mu.Unlock()
 	for end := time.Now().Add(wait); ; {
 		s.mu.Lock()
 		down, expired := s.down, from < s.first[t]
--- a/internal/topic/state.go
+++ b/internal/topic/state.go
@@ -1,6 +1,10 @@
 package topic
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // state is what is known of one topic.
 type state struct {
@@ -14,10 +18,18 @@
 	// answer came before it.
 	contact     time.Time
 	outageEnded time.Time
+	// direct is the last answer of the store itself.
+	direct time.Time
+	// removed are the newest removals, for others that read from here; removals
+	// before removedFrom are not known.
+	removed     []Item
+	removedFrom int64
+	// changed is closed with the next change.
+	changed chan struct{}
 }
 
 func newState() *state {
-	return &state{items: make(map[string]Item), next: -1, lapsed: make(map[string]time.Time)}
+	return &state{items: make(map[string]Item), next: -1, lapsed: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
 // Windows of entries that went away around an outage of the store.
@@ -57,6 +69,8 @@
 		}
 	}
 	s.next = max(s.next, p.Next)
+	// A key that is missing from the list was removed at an unknown offset.
+	s.removed, s.removedFrom = nil, s.next
 	return changed
 }
 
@@ -67,6 +81,7 @@
 		switch {
 		case it.Key == "":
 		case len(it.Value) == 0:
+			s.noteRemoved(it)
 			changed = s.remove(it.Key, now) || changed
 		default:
 			changed = s.put(it) || changed
@@ -76,6 +91,37 @@
 	return changed
 }
 
+// mostRemoved bounds the removals that are kept for others.
+const mostRemoved = 256
+
+func (s *state) noteRemoved(it Item) {
+	s.removed = append(s.removed, it)
+	if extra := len(s.removed) - mostRemoved; extra > 0 {
+		s.removedFrom = s.removed[extra-1].Offset + 1
+		s.removed = append([]Item(nil), s.removed[extra:]...)
+	}
+}
+
+// since returns the records from an offset on, or false if not all are known.
+func (s *state) since(from int64) (Page, bool) {
+	if from < s.removedFrom || from < 0 {
+		return Page{}, false
+	}
+	page := Page{Next: max(s.next, from)}
+	for _, it := range s.removed {
+		if it.Offset >= from {
+			page.Items = append(page.Items, it)
+		}
+	}
+	for _, it := range s.items {
+		if it.Offset >= from {
+			page.Items = append(page.Items, it)
+		}
+	}
+	slices.SortFunc(page.Items, func(a, b Item) int { return cmp.Compare(a.Offset, b.Offset) })
+	return page, true
+}
+
 func (s *state) put(it Item) bool {
 	if len(it.Value) == 0 {
 		return false
--- a/internal/upstream/asked.go
+++ b/internal/upstream/asked.go
@@ -11,6 +11,9 @@
 // moves from one model to another within seconds.
 const askedHalfLife = 8 * time.Second
 
+// hardlyAsked is a demand that an agent need not hear of.
+const hardlyAsked = 0.02
+
 // askedFor is a decayed count of requests for a model or adapter.
 type askedFor struct {
 	count float64
@@ -86,7 +89,9 @@
 		if a, ok := p.asked[name]; ok {
 			d.Asked = a.value(now)
 		}
-		out = append(out, d)
+		if d.Recent > 0 || d.InFlight > 0 || d.Asked > hardlyAsked {
+			out = append(out, d)
+		}
 	}
 	for model, adapters := range h.Adapters {
 		add(model, model, "")
