--- a/internal/agentlink/watcher.go
+++ b/internal/agentlink/watcher.go
@@ -22,6 +22,10 @@
 	// statePause bounds the rate of news of one agent; a load from memory takes
 	// 400 ms.
 	statePause = 100 * time.Millisecond
+	// agentsAtFullRate are followed at these rates. With more, all intervals grow
+	// with their number up to slowest, so that an instance's calls do not.
+	agentsAtFullRate = 18
+	slowest          = 3.0
 	// lostPause is the time between two tries of an agent that does not answer.
 	lostPause = 300 * time.Millisecond
 	// syncPause is how often the list of agents is compared.
@@ -79,20 +83,27 @@
 	}
 }
 
+// slower is the factor by which intervals grow with the number of agents.
+func slower(agents int) float64 {
+	return min(slowest, max(1, float64(agents)/agentsAtFullRate))
+}
+
 func (w *Watcher) follow(ctx context.Context, a upstream.Agent) {
 	var last agentapi.State
 	lost := false
 	for ctx.Err() == nil {
 		start := time.Now()
 		engines, rank := w.engines(a.UpstreamID)
+		factor := slower(engines)
+		wait := time.Duration(factor * float64(stateWait))
 		st, err := w.client.state(ctx, a.Addr, agentapi.StateRequest{
-			From: w.self, Incarnation: last.Incarnation, After: last.Version, WaitMS: int(stateWait.Milliseconds()),
+			From: w.self, Incarnation: last.Incarnation, After: last.Version, WaitMS: int(wait.Milliseconds()),
 			Engines: engines, Rank: rank, Demand: w.pool.Demand(a.UpstreamID),
 		})
 		if ctx.Err() != nil {
 			return
 		}
-		pause := statePause
+		pause := time.Duration(factor * float64(statePause))
 		if err != nil {
 			if !lost {
 				w.logger.Warn("agent lost", zap.String("upstream", a.UpstreamID), zap.String("addr", a.Addr), telemetry.Err(err))
@@ -100,7 +111,7 @@
 			last, pause = agentapi.State{}, lostPause
 			// A call that fails at once was refused by the machine, so the engine on it
 			// may be well; one that runs into its bound was not heard.
-			w.pool.AgentLost(a.UpstreamID, time.Since(start) >= stateWait)
+			w.pool.AgentLost(a.UpstreamID, time.Since(start) >= wait)
 		} else {
 			if lost {
 				w.logger.Info("agent regained", zap.String("upstream", a.UpstreamID), zap.String("addr", a.Addr))
