Give each type of the gateway and the settings its file

Cause: reading the diff as a newcomer: two result types and the loads stood in the file of the attempts, bounds in that of the settings, and the agent assumed a health path before it knew a configuration.

--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -216,13 +216,15 @@
 	if id != "" {
 		return true
 	}
-	path := "/health"
-	if c := a.Config(); c != nil {
-		if s, ok := c.Service(a.Service); ok && s.HealthPath != "" {
-			path = s.HealthPath
-		}
+	c := a.Config()
+	if c == nil {
+		return false
+	}
+	service, ok := c.Service(a.Service)
+	if !ok {
+		return false
 	}
-	id, err := a.Engine.Identify(ctx, path)
+	id, err := a.Engine.Identify(ctx, service.HealthPath)
 	if err != nil {
 		a.Logger.Warn("engine's id is not known", telemetry.Err(err))
 		return false
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/jacinthbend/jacinthbend/internal/agentapi"
 	"github.com/jacinthbend/jacinthbend/internal/errkind"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 	"github.com/jacinthbend/jacinthbend/internal/telemetry"
@@ -29,16 +28,6 @@
 	unknownRetry = 500 * time.Millisecond
 )
 
-// next tells what follows an attempt.
-type next int
-
-const (
-	// finished means that the caller has its answer.
-	finished next = iota
-	// again means that another upstream may serve the request.
-	again
-)
-
 // run sends the request to upstreams until one serves it or nothing is left to try.
 func (x *call) run(ctx context.Context) {
 	for {
@@ -168,66 +157,6 @@
 	return x.arrivals < mostArrivals && x.left() > leastLeft && x.g.Repeats.Repeat(x.query.Service)
 }
 
-// loadResult is how an agent's load ended for a request.
-type loadResult int
-
-const (
-	loaded loadResult = iota
-	// notLoaded means that another engine can be tried.
-	notLoaded
-	// tooLate means that the request was given up.
-	tooLate
-)
-
-// load has the model or adapter loaded at the chosen engine.
-func (x *call) load(ctx context.Context, choice *upstream.Choice) loadResult {
-	if choice.AgentAddr == "" {
-		return notLoaded
-	}
-	start := time.Now()
-	defer func() { x.loadWait += time.Since(start) }()
-	resp, err := x.g.Loader.Ensure(ctx, choice.AgentAddr, agentapi.EnsureRequest{
-		Model: x.query.Model, Adapter: x.query.Adapter, WaitMS: x.left().Milliseconds(),
-	})
-	if err != nil {
-		if ctx.Err() == nil {
-			x.g.Logger.Warn("agent did not load", x.idField(), zap.String("upstream", choice.Upstream.ID),
-				zap.String("model", x.query.Name()), telemetry.Err(err))
-		}
-		return notLoaded
-	}
-	if resp.Loaded {
-		x.g.Pool.Loaded(choice.Upstream.ID, x.query.Model, x.query.Adapter)
-		x.g.Logger.Debug("model loaded for request", x.idField(), zap.String("upstream", choice.Upstream.ID),
-			zap.String("model", x.query.Name()), zap.Duration("waited", time.Since(start)))
-		return loaded
-	}
-	if after := time.Duration(resp.ReadyInMS) * time.Millisecond; after > x.left() {
-		x.giveUp("the model cannot be loaded in time: "+resp.Reason, after)
-		return tooLate
-	}
-	return notLoaded
-}
-
-// wantReplica asks for another copy of a model whose engines are slow. The
-// request does not wait for it.
-func (x *call) wantReplica(choice *upstream.Choice) {
-	r := choice.Replica
-	if r == nil || r.AgentAddr == "" {
-		return
-	}
-	g, model, worth := x.g, x.query.Model, r.Worth
-	id := x.idField()
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		_, err := g.Loader.Ensure(ctx, r.AgentAddr, agentapi.EnsureRequest{Model: model, Background: true, Worth: worth})
-		if err != nil {
-			g.Logger.Warn("agent did not take the wish for a copy", id, zap.String("model", model), telemetry.Err(err))
-		}
-	}()
-}
-
 func (x *call) idField() zap.Field { return zap.String("request", x.attrs.RequestID) }
 
 // forward returns what the system adds to the request.
