Use the field's words for background loads and models without a copy

Cause: reading the diff as a newcomer: wishes and orphans were private words for prefetched copies and unplaced models. Names, comments and log lines only.

--- a/internal/agentapi/ensure.go
+++ b/internal/agentapi/ensure.go
@@ -5,9 +5,9 @@
 type EnsureRequest struct {
 	Model   string `json:"model"`
 	Adapter string `json:"adapter,omitempty"`
-	// WaitMS is how long the caller waits, in ms; 0 only records the wish.
+	// WaitMS is how long the caller waits, in ms; 0 only records the request.
 	WaitMS int64 `json:"wait_ms"`
-	// Background wishes come after those of waiting requests.
+	// Background loads come after those of waiting requests.
 	Background bool `json:"background,omitempty"`
 	// Worth is the demand that a copy for the background would carry, on the
 	// scale of Demand.Asked; it displaces only models that carry clearly less.
--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -111,7 +111,7 @@
 		a.lost(err)
 		return lostPause
 	}
-	a.took(r)
+	a.takeReport(r)
 	if !a.identify(ctx) {
 		return lostPause
 	}
@@ -146,8 +146,8 @@
 	}
 }
 
-// took takes over a report.
-func (a *Agent) took(r fleet.EngineReport) {
+// takeReport takes over a report.
+func (a *Agent) takeReport(r fleet.EngineReport) {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/engineagent/calls.go
+++ b/internal/engineagent/calls.go
@@ -60,7 +60,7 @@
 		return agentapi.EnsureResponse{Reason: reason}, nil
 	}
 	if req.Background {
-		a.wish(req.Model, req.Worth)
+		a.prefetch(req.Model, req.Worth)
 		return agentapi.EnsureResponse{Loaded: a.holds(req.Model, req.Adapter)}, nil
 	}
 	a.want(names)
@@ -103,9 +103,9 @@
 	return a.known && a.report.Holdings.HasAdapter(model, adapter)
 }
 
-func (a *Agent) wish(model string, worth float64) {
+func (a *Agent) prefetch(model string, worth float64) {
 	a.mu.Lock()
-	a.wants.wish(model, worth, time.Now())
+	a.wants.prefetch(model, worth, time.Now())
 	a.mu.Unlock()
 	a.wakeUp()
 }
--- a/internal/engineagent/wants.go
+++ b/internal/engineagent/wants.go
@@ -8,15 +8,15 @@
 	"github.com/jacinthbend/jacinthbend/internal/placement"
 )
 
-// wishAge is how long a wish for the background is kept.
-const wishAge = 3 * time.Second
+// prefetchAge is how long a background load is kept.
+const prefetchAge = 3 * time.Second
 
 // want is a model or adapter that is asked for.
 type want struct {
 	since   time.Time
 	waiting int
-	// wishUntil keeps a wish for the background, worth is the demand it would carry.
-	wishUntil time.Time
+	// prefetchUntil keeps a background load, worth is the demand it would carry.
+	prefetchUntil time.Time
 	worth     float64
 }
 
@@ -25,10 +25,10 @@
 
 func (w wants) add(name string, now time.Time) { w.of(name, now).waiting++ }
 
-// wish records a wish for the background.
-func (w wants) wish(name string, worth float64, now time.Time) {
+// prefetch records a background load.
+func (w wants) prefetch(name string, worth float64, now time.Time) {
 	x := w.of(name, now)
-	x.wishUntil, x.worth = now.Add(wishAge), worth
+	x.prefetchUntil, x.worth = now.Add(prefetchAge), worth
 }
 
 func (w wants) of(name string, now time.Time) *want {
@@ -48,7 +48,7 @@
 }
 
 func (w wants) tidy(name string, x *want, now time.Time) {
-	if x.waiting <= 0 && !now.Before(x.wishUntil) {
+	if x.waiting <= 0 && !now.Before(x.prefetchUntil) {
 		delete(w, name)
 	}
 }
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -66,7 +66,7 @@
 		defer cancel()
 		_, err := g.Loader.Ensure(ctx, r.AgentAddr, agentapi.EnsureRequest{Model: model, Background: true, Worth: worth})
 		if err != nil {
-			g.Logger.Warn("agent did not take the wish for a copy", id, zap.String("model", model), telemetry.Err(err))
+			g.Logger.Warn("agent did not take the request for a copy", id, zap.String("model", model), telemetry.Err(err))
 		}
 	}()
 }
--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -24,9 +24,9 @@
 	Model string
 	// Since is when it was asked for first.
 	Since time.Time
-	// Waiting is how many requests wait; 0 is a wish for the background.
+	// Waiting is how many requests wait; 0 is a background load.
 	Waiting int
-	// Worth is the demand that a wish for the background would carry.
+	// Worth is the demand that a background load would carry.
 	Worth float64
 }
 
--- a/internal/placement/next.go
+++ b/internal/placement/next.go
@@ -16,15 +16,15 @@
 	// patience is how long a waiting request lets models with running requests
 	// stay. The unload waits for those requests, a second or so.
 	patience = 700 * time.Millisecond
-	// wishGain of a wish's demand is the most that a model displaced by it may
+	// prefetchGain of the demand of a background load is the most that a model displaced by it may
 	// carry; two copies of about the same demand must not displace each other.
-	wishGain = 0.6
+	prefetchGain = 0.6
 )
 
 // Next returns the next order, or none.
 func Next(in Input) Action {
 	wants := slices.Clone(in.Wants)
-	// Requests that wait come before wishes, and the oldest first.
+	// Requests that wait come before background loads, and the oldest first.
 	slices.SortStableFunc(wants, func(a, b Want) int {
 		return cmp.Or(cmp.Compare(min(1, b.Waiting), min(1, a.Waiting)), a.Since.Compare(b.Since))
 	})
@@ -75,7 +75,7 @@
 	var models []held
 	for name := range in.Holdings.Adapters {
 		u := in.Use[name]
-		if w.Waiting == 0 && (u.InFlight > 0 || worth(u) >= wishGain*w.Worth) {
+		if w.Waiting == 0 && (u.InFlight > 0 || worth(u) >= prefetchGain*w.Worth) {
 			continue
 		}
 		if u.InFlight > 0 && in.Now.Sub(w.Since) < patience {
--- a/internal/placement/next_test.go
+++ b/internal/placement/next_test.go
@@ -51,11 +51,11 @@
 		{"no load before there is room", Input{Holdings: holds("a", "b", "c"), Use: calm, Wants: []Want{{Model: "d", Waiting: 1}}}, Unload, "b", []string{"d"}},
 		{"no load from the store beyond its rate", Input{Holdings: holds("a"), Wants: []Want{{Model: "d", Waiting: 1}}}, None, "", nil},
 		{"no displacement for a load that may not begin", Input{Holdings: holds("a", "b", "c"), Use: calm, Wants: []Want{{Model: "d", Waiting: 1}}}, None, "", nil},
-		{"no wish before a request", Input{
+		{"no background load before a request", Input{
 			Holdings: holds("a", "b"), Wants: []Want{{Model: "d", Since: old}, {Model: "e", Since: now, Waiting: 1}},
 		}, Load, "e", []string{"d", "e"}},
-		{"no displacement of models that carry as much for a wish", Input{Holdings: holds("a", "b", "c"), Use: calm, Wants: []Want{{Model: "d", Worth: 1}}}, None, "", []string{"d"}},
-		{"no wish unheard for a model that is asked for far more", Input{Holdings: holds("a", "b", "c"), Use: calm, Wants: []Want{{Model: "d", Worth: 2}}}, Unload, "b", []string{"d"}},
+		{"no displacement of models that carry as much for a background load", Input{Holdings: holds("a", "b", "c"), Use: calm, Wants: []Want{{Model: "d", Worth: 1}}}, None, "", []string{"d"}},
+		{"no background load refused for a model that is asked for far more", Input{Holdings: holds("a", "b", "c"), Use: calm, Wants: []Want{{Model: "d", Worth: 2}}}, Unload, "b", []string{"d"}},
 		{"no displacement of a model that runs while an idle one is there", Input{
 			Holdings: holds("a", "b", "c"), Use: map[string]Use{
 				"a": {Asked: 0, Copies: 1, InFlight: 1, LoadedAt: old}, "b": {Asked: 9, Copies: 1, LoadedAt: old}, "c": {Asked: 8, Copies: 1, LoadedAt: old},
--- a/internal/upstream/asked.go
+++ b/internal/upstream/asked.go
@@ -20,8 +20,8 @@
 	// prefill is the time in ms that an engine needs for their prompts.
 	prefill float64
 	at      time.Time
-	// wished is when another copy was last asked for.
-	wished time.Time
+	// copyAskedAt is when another copy was last asked for.
+	copyAskedAt time.Time
 }
 
 func (a *askedFor) decay(now time.Time) float64 {
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -94,7 +94,7 @@
 	// that the engine runs: at a third of its time their events come half a
 	// second apart.
 	replicaBusy = 0.2
-	// replicaPause is the time between two wishes for copies of one model; a load
+	// replicaPause is the time between two requests for copies of one model; a load
 	// from disk takes less than a second.
 	replicaPause = 700 * time.Millisecond
 )
@@ -103,7 +103,7 @@
 // load. This instance's demand stands for that of every other one.
 func (p *Pool) replica(q *Query, best candidate, copies int, other []candidate, now time.Time) *Choice {
 	a := p.askedOf(q.Model)
-	if now.Sub(a.wished) < replicaPause {
+	if now.Sub(a.copyAskedAt) < replicaPause {
 		return nil
 	}
 	entries := float64(max(1, p.view.Entries()))
@@ -115,7 +115,7 @@
 	if r == nil || r.LoadTime > maxReplicaLoad {
 		return nil
 	}
-	a.wished = now
+	a.copyAskedAt = now
 	r.Worth = a.value(now) * entries / float64(copies+1)
 	return r
 }
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -106,7 +106,7 @@
 
 // TestReplica guards against a burst for one model that queues at its only
 // engine while others idle, against copies for a model in calm use, and against
-// a wish with every request.
+// a request for a copy with every request.
 func TestReplica(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		check := is.New(t)
@@ -144,26 +144,26 @@
 		p := newPool(testView(4, 1))
 		q := engineQuery("m", "")
 		q.TokensIn = 9000
-		wished := 0
+		copies := 0
 		for range 60 {
 			p.Asked(q)
 			c, _ := p.Pick(q)
 			if c.Replica != nil {
-				wished++
+				copies++
 			}
 			time.Sleep(300 * time.Millisecond)
 		}
-		check.True(wished > 5)
+		check.True(copies > 5)
 	})
 }
 
-// TestOrphans guards against a model whose first request waits for the weight
+// TestUnplaced guards against a model whose first request waits for the weight
 // store, and against loads of models that a silent agent may have.
-func TestOrphans(t *testing.T) {
+func TestUnplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		check := is.New(t)
 		p := newPool(testView(3, 1))
-		check.Equal(len(p.Orphans()), 0) // no agent was heard
+		check.Equal(len(p.Unplaced()), 0) // no agent was heard
 		for i := range 3 {
 			st := &agentapi.State{Known: true, Born: 1, Holdings: &fleet.Holdings{Adapters: map[string][]string{"m": nil}}}
 			if i == 2 {
@@ -171,11 +171,11 @@
 			}
 			p.Heard(fmt.Sprintf("i-%d", i), st)
 		}
-		got := p.Orphans()
+		got := p.Unplaced()
 		check.Equal(len(got), 1)
 		check.Equal(got[0].Model, "r")
 		p.Heard("i-1", &agentapi.State{Known: true, Born: 1, Loading: "r", Holdings: &fleet.Holdings{}})
-		check.Equal(len(p.Orphans()), 0)
+		check.Equal(len(p.Unplaced()), 0)
 	})
 }
 
--- a/internal/upstream/orphans.go
+++ b/internal/upstream/unplaced.go
@@ -5,24 +5,24 @@
 	"time"
 )
 
-// Orphan is a model that no engine has at hand, with the engine to load it.
-type Orphan struct {
+// UnplacedModel is a model that no engine has at hand, with the engine to load it.
+type UnplacedModel struct {
 	Model     string
 	AgentAddr string
 }
 
-// Orphans returns the models that only the weight store has. The first request
+// Unplaced returns the models that only the weight store has. The first request
 // for one of them would wait for a load of many seconds, longer than most
 // callers do. Nothing is returned while an engine's agent is silent, since it may
 // have what the others lack.
-func (p *Pool) Orphans() []Orphan {
+func (p *Pool) Unplaced() []UnplacedModel {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.view == nil {
 		return nil
 	}
-	var out []Orphan
+	var out []UnplacedModel
 	for name, service := range p.view.Config.Services {
 		if service.Engine == nil {
 			continue
@@ -58,7 +58,7 @@
 				engines[i].rank = rendezvous(model, engines[i].state.up.ID)
 			}
 			if c := p.fastestLoad(&Query{Service: name, Model: model}, engines, now); c != nil {
-				out = append(out, Orphan{Model: model, AgentAddr: c.AgentAddr})
+				out = append(out, UnplacedModel{Model: model, AgentAddr: c.AgentAddr})
 			}
 		}
 	}
