--- a/internal/engineagent/wants.go
+++ b/internal/engineagent/wants.go
@@ -17,7 +17,7 @@
 	waiting int
 	// prefetchUntil keeps a background load, worth is the demand it would carry.
 	prefetchUntil time.Time
-	worth     float64
+	worth         float64
 }
 
 // wants are the models and adapters that are asked for, by name.
