Bound the waits of the gateway and managed tests

Cause: three tests of the gateway and the managed roles slept for a fixed time, and four polled without a bound; a slow machine could make the first fail for no fault and the second hang. Change: polls end after ten seconds with what they waited for. The wait for a caller's leaving ends with the context of the held load, the wait for the outage with calls that the stand-in of the store has refused. TestExplain is a table. Ruled out: longer sleeps, which only move the moment.

--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -24,47 +24,63 @@
 // TestExplain follows the path of docs/OPERATIONS.md from the id of a failed
 // request to its cause. It guards against a failure that the logs do not explain.
 func TestExplain(t *testing.T) {
-	t.Run("over its rate", func(t *testing.T) {
-		check := is.New(t)
-		w := newWorld(t, whole(200, "ok"))
-		_ = w.send("GET", "/safe/", "", "X-Api-Key: poor")
-		_ = w.send("GET", "/safe/", "", "X-Api-Key: poor")
-		w.waitIdle()
-		last := about(w.logs, "request not served")
-		check.Equal(len(last), 1)
-		check.Equal(last[0]["kind"], "over_rate")
-		why := about(w.logs, "team over its rate")
-		check.Equal(len(why), 1)
-		check.Equal(why[0]["team"], "poor")
-		check.True(why[0]["free"].(float64) < why[0]["tokens"].(float64))
-	})
-	t.Run("stream cut", func(t *testing.T) {
-		check := is.New(t)
-		w := newWorld(t, chunks(false, event1))
-		_ = w.send("POST", "/stream/", "x")
-		w.waitIdle()
-		last := about(w.logs, "request not served")
-		check.Equal(len(last), 1)
-		check.Equal(last[0]["kind"], "stream_cut")
-		why := about(w.logs, "stream broke")
-		check.Equal(len(why), 1)
-		check.Equal(why[0]["upstream"], "i-0")
-		check.True(why[0]["error"] != "")
-	})
-	t.Run("no load", func(t *testing.T) {
-		check := is.New(t)
-		w := newWorld(t, chunks(true, event1))
-		w.engines()
-		w.loader.fail(net.ErrClosed)
-		_ = w.send("POST", "/model/", "x", "Jacinthbend-Model: m/a1")
-		w.waitIdle()
-		last := about(w.logs, "request not served")
-		check.Equal(len(last), 1)
-		check.Equal(last[0]["kind"], "upstream_unavailable")
-		why := about(w.logs, "agent did not load")
-		check.Equal(len(why), 1)
-		check.Equal(why[0]["upstream"], "i-0")
-	})
+	for _, row := range []struct {
+		name    string
+		scripts []script
+		// fail makes request r1 fail.
+		fail func(w *world)
+		// kind is logged at the end, cause is the message that explains it.
+		kind, cause string
+		fields      func(check *is.I, why map[string]any)
+	}{
+		{
+			"over its rate",
+			[]script{whole(200, "ok")},
+			func(w *world) {
+				_ = w.send("GET", "/safe/", "", "X-Api-Key: poor")
+				_ = w.send("GET", "/safe/", "", "X-Api-Key: poor")
+			},
+			"over_rate", "team over its rate",
+			func(check *is.I, why map[string]any) {
+				check.Equal(why["team"], "poor")
+				check.True(why["free"].(float64) < why["tokens"].(float64))
+			},
+		},
+		{
+			"stream cut",
+			[]script{chunks(false, event1)},
+			func(w *world) { _ = w.send("POST", "/stream/", "x") },
+			"stream_cut", "stream broke",
+			func(check *is.I, why map[string]any) {
+				check.Equal(why["upstream"], "i-0")
+				check.True(why["error"] != "")
+			},
+		},
+		{
+			"no load",
+			[]script{chunks(true, event1)},
+			func(w *world) {
+				w.engines()
+				w.loader.fail(net.ErrClosed)
+				_ = w.send("POST", "/model/", "x", "Jacinthbend-Model: m/a1")
+			},
+			"upstream_unavailable", "agent did not load",
+			func(check *is.I, why map[string]any) { check.Equal(why["upstream"], "i-0") },
+		},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			check := is.New(t)
+			w := newWorld(t, row.scripts...)
+			row.fail(w)
+			w.waitIdle()
+			last := about(w.logs, "request not served")
+			check.Equal(len(last), 1)
+			check.Equal(last[0]["kind"], row.kind)
+			why := about(w.logs, row.cause)
+			check.Equal(len(why), 1)
+			row.fields(check, why[0])
+		})
+	}
 }
 
 // TestNoKeysInLogs guards against a caller's key in the logs.
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -202,12 +202,14 @@
 			return false
 		}
 	}
+	// silence reports the first upstream's machine as silent again and again, as
+	// the watcher of a machine that stands still does.
 	silence := func(w *world) {
-		for len(w.seen()) == 0 {
-			time.Sleep(time.Millisecond)
-		}
-		time.Sleep(20 * time.Millisecond)
-		w.pool.AgentLost("i-0", true)
+		w.eventually("request at an upstream", func() bool { return len(w.seen()) > 0 })
+		w.eventually("end of the request", func() bool {
+			w.pool.AgentLost("i-0", true)
+			return w.machine.Running() == 0
+		})
 	}
 	t.Run("stream", func(t *testing.T) {
 		check := is.New(t)
@@ -252,18 +254,18 @@
 	w.engines()
 	// Leaves an idle connection, on which a request could be sent at once.
 	check.Equal(w.send("POST", "/model/", "x", "Jacinthbend-Model: m").body, event1)
-	release := w.loader.holdLoads()
+	release, left := w.loader.holdLoads()
 	c, err := net.Dial("tcp", w.addr)
 	check.NoErr(err)
 	w.write(c, "POST", "/model/", "x", "Jacinthbend-Model: m/a1")
-	for w.machine.Running() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	w.eventually("request in work", func() bool { return w.machine.Running() > 0 })
 	check.NoErr(c.Close())
-	time.Sleep(50 * time.Millisecond)
-	release()
-	for w.machine.Running() > 0 {
-		time.Sleep(time.Millisecond)
+	select {
+	case <-left:
+	case <-time.After(testPatience):
+		t.Fatal("the gateway did not notice that the caller left")
 	}
+	release()
+	w.waitIdle()
 	check.Equal(len(w.seen()), 1)
 }
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -73,8 +73,9 @@
 	refuse bool
 	err    error
 	// hold keeps loads until it is closed; an agent does not notice that a caller
-	// has gone.
+	// has gone. left is closed when the caller of a held load is gone.
 	hold  chan struct{}
+	left  chan struct{}
 	asked []string
 	mu    sync.Mutex
 }
@@ -91,19 +92,24 @@
 	l.err = err
 }
 
-func (l *loader) holdLoads() (release func()) {
+// holdLoads keeps a caller's load until release is called. left is closed once
+// its caller is gone.
+func (l *loader) holdLoads() (release func(), left <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	hold := make(chan struct{})
-	l.hold = hold
-	return func() { close(hold) }
+	l.hold, l.left = hold, make(chan struct{})
+	return func() { close(hold) }, l.left
 }
 
-func (l *loader) Ensure(_ context.Context, _ string, req agentapi.EnsureRequest) (agentapi.EnsureResponse, error) {
+func (l *loader) Ensure(ctx context.Context, _ string, req agentapi.EnsureRequest) (agentapi.EnsureResponse, error) {
 	l.mu.Lock()
-	hold := l.hold
+	hold, left := l.hold, l.left
 	l.mu.Unlock()
-	if hold != nil {
+	// Background loads have no caller.
+	if hold != nil && !req.Background {
+		<-ctx.Done()
+		close(left)
 		<-hold
 	}
 	l.mu.Lock()
@@ -197,11 +203,22 @@
 	w.gateway.Update(&v)
 }
 
+// testPatience bounds every wait of these tests; each takes milliseconds.
+const testPatience = 10 * time.Second
+
+// eventually polls until f is true. It may be called from any goroutine.
+func (w *world) eventually(what string, f func() bool) {
+	for end := time.Now().Add(testPatience); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			w.t.Errorf("not within %s: %s", testPatience, what)
+			return
+		}
+	}
+}
+
 // waitIdle waits until the gateway has ended, and logged, what callers sent.
 func (w *world) waitIdle() {
-	for w.machine.Running() > 0 {
-		time.Sleep(time.Millisecond)
-	}
+	w.eventually("end of all requests", func() bool { return w.machine.Running() == 0 })
 }
 
 // upstream serves a scripted upstream and returns its address.
--- a/internal/managed/managed_test.go
+++ b/internal/managed/managed_test.go
@@ -142,11 +142,12 @@
 	status, _ = s.send("m2", "new")
 	check.Equal(status, http.StatusOK)
 
-	s.store.set(true)
-	time.Sleep(200 * time.Millisecond)
+	refused := s.store.set(true)
+	// Both roles have met the outage.
+	s.eventually("calls refused by the store", func() bool { return s.store.refusals()-refused >= 2 })
 	status, _ = s.send("m2", "new") // without the store
 	check.Equal(status, http.StatusOK)
-	s.store.set(false)
+	_ = s.store.set(false)
 
 	s.entry("draining")
 	s.eventually("leaving upstream out of use", func() bool { status, _ := s.send("m2", "new"); return status == http.StatusServiceUnavailable })
--- a/internal/managed/standin_test.go
+++ b/internal/managed/standin_test.go
@@ -21,6 +21,8 @@
 	mu     sync.Mutex
 	topics map[string][]storeRecord
 	down   bool
+	// refused counts calls during outages.
+	refused int
 }
 
 type storeRecord struct {
@@ -37,6 +39,9 @@
 	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		down := s.down
+		if down {
+			s.refused++
+		}
 		s.mu.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -59,10 +64,18 @@
 	s.topics[topic] = append(s.topics[topic], storeRecord{key, []byte(value)})
 }
 
-func (s *storeStandIn) set(down bool) {
+// set begins or ends an outage and returns the calls refused so far.
+func (s *storeStandIn) set(down bool) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.down = down
+	return s.refused
+}
+
+func (s *storeStandIn) refusals() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused
 }
 
 func (s *storeStandIn) newest(w http.ResponseWriter, r *http.Request) {
