Bound the loads from the weight store and hide models that are being unloaded

Change: requests never begin loads from the weight store; entry instances take turns to decide on them, within a limit learned from how long loads take. A request whose model cannot be loaded in 0.7 of its time is refused at once with the time of the load. The agent hides a model that is being unloaded and ignores reports from before its last order. A draining instance refuses what still waits 0.7 s before its end. Ruled out: a fixed number of loads, since the platform does not tell it; turns among engines, which make a wanted load wait for minutes. Each new test fails without its rule. Conclusion: what binds at a loss of engines is the weight store; the rest of the fleet goes on.

--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -21,6 +21,10 @@
 	lostPause = 100 * time.Millisecond
 )
 
+// reportLag bounds the age of an engine's report. The platform's engines report
+// values of some hundred ms ago.
+const reportLag = time.Second
+
 // refusedPause is the time after an order that was refused or not answered. An
 // engine counts orders, so a cold one must not be flooded with them.
 const refusedPause = 60 * time.Millisecond
@@ -65,6 +69,12 @@
 	// loadedBy is when the load is expected to end.
 	loadedBy time.Time
 	store    storeWindow
+	// storeLoad is the load from the weight store that is under way.
+	storeLoad storeLoad
+	// acceptedAt is when the engine last accepted an order, whose number
+	// report.Sequence has.
+	acceptedAt time.Time
+	unloading  unloading
 	// pauseUntil keeps orders back after one that was refused or not answered.
 	pauseUntil time.Time
 }
@@ -151,14 +161,22 @@
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.known && r.Born == a.report.Born && r.Sequence < a.report.Sequence && now.Sub(a.acceptedAt) < reportLag {
+		// From before the last order: only its counts are news.
+		a.report.Queued, a.report.Running = r.Queued, r.Running
+		return
+	}
 	if !a.known || r.Born != a.report.Born {
 		a.Logger.Info("engine found", zap.Int64("born", r.Born), zap.Int("models", len(r.Holdings.Adapters)), zap.Int64("sequence", r.Sequence))
 		a.id = ""
 		a.demand = newDemand()
+		a.loading, a.storeLoad, a.unloading = "", storeLoad{}, unloading{}
 	}
 	if !r.Busy {
+		a.storeLoad.ended(now)
 		a.loading = ""
 	}
+	a.unloading.apply(&r)
 	for name := range r.Holdings.Adapters {
 		if _, ok := a.demand.loadedAt[name]; !ok {
 			a.demand.loadedAt[name] = now
--- a/internal/engineagent/calls.go
+++ b/internal/engineagent/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -63,6 +64,9 @@
 		a.prefetch(req.Model, req.Worth)
 		return agentapi.EnsureResponse{Loaded: a.holds(req.Model, req.Adapter)}, nil
 	}
+	if !a.atHand(req.Model) {
+		return agentapi.EnsureResponse{Reason: "the engine does not have the model at hand"}, nil
+	}
 	a.want(names)
 	defer a.unwant(names)
 	t := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
@@ -103,6 +107,19 @@
 	return a.known && a.report.Holdings.HasAdapter(model, adapter)
 }
 
+// atHand reports whether the engine has the model without the weight store, or
+// loads it or is to load it from there. Requests do not start such loads: they
+// take longer than most callers wait, and the engine takes no other order
+// meanwhile.
+func (a *Agent) atHand(model string) bool {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h := &a.report.Holdings
+	return h.HasModel(model) || slices.Contains(h.InMemory, model) || slices.Contains(h.OnDisk, model) || a.loading == model ||
+		a.wants[model] != nil && now.Before(a.wants[model].prefetchUntil)
+}
+
 func (a *Agent) prefetch(model string, worth float64) {
 	a.mu.Lock()
 	a.wants.prefetch(model, worth, time.Now())
@@ -156,7 +173,12 @@
 	st.Born, st.Holdings, st.Loading = a.report.Born, &h, a.loading
 	if a.loading != "" {
 		st.LoadingLeftMS = max(0, a.loadedBy.Sub(now).Milliseconds())
+		st.StoreLoad = !a.storeLoad.begun.IsZero()
+		if st.LoadingLeftMS == 0 {
+			st.LoadingLeftMS = a.storeLoad.left(now).Milliseconds()
+		}
 	}
+	st.StoreSlowdown = a.storeLoad.slowdown
 	st.Queued, st.Running, st.Draining = a.report.Queued, a.report.Running, a.report.Draining
 	for _, w := range a.wants.list(now, func(name string) bool { return !strings.Contains(name, "/") && !h.HasModel(name) }) {
 		st.Wanted = append(st.Wanted, w.Model)
--- a/internal/engineagent/orders.go
+++ b/internal/engineagent/orders.go
@@ -53,6 +53,7 @@
 		a.loadedBy = now.Add(duration(spec.Models[o.Model], &a.report.Holdings))
 		if next.FromStore {
 			a.store.add(now)
+			a.storeLoad.begin(now, spec.Models[o.Model].FromStore)
 		}
 	}
 	a.Logger.Info("order decided", zap.String("model", o.Model), zap.Bool("unload", o.Kind == fleet.OrderUnload),
@@ -115,7 +116,7 @@
 	}
 	if err != nil {
 		a.Logger.Warn("order not answered", append(fields, telemetry.Err(err))...)
-		a.pause(refusedPause)
+		a.unanswered(o)
 		return false
 	}
 	a.Logger.Info("order answered", fields...)
@@ -142,10 +143,12 @@
 	return false
 }
 
-func (a *Agent) pause(d time.Duration) {
+// unanswered notes an order that may have been accepted.
+func (a *Agent) unanswered(o fleet.Order) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.pauseUntil = time.Now().Add(d)
+	a.pauseUntil = time.Now().Add(refusedPause)
+	a.unloading.ordered(o)
 }
 
 // duration estimates how long a load takes by where the engine has the weights.
@@ -162,6 +165,8 @@
 
 // accepted notes what an accepted order changes before the next report.
 func (a *Agent) accepted(o fleet.Order) {
+	a.acceptedAt = time.Now()
+	a.unloading.ordered(o)
 	switch {
 	case o.Adapter != "" && o.Kind == fleet.OrderLoad:
 		a.report.Pending = append(a.report.Pending, o.Model+"/"+o.Adapter)
--- a/internal/engineagent/wants.go
+++ b/internal/engineagent/wants.go
@@ -59,7 +59,11 @@
 	for name, x := range w {
 		w.tidy(name, x, now)
 		if _, ok := w[name]; ok && pick(name) {
-			out = append(out, placement.Want{Model: name, Since: x.since, Waiting: x.waiting, Worth: x.worth})
+			want := placement.Want{Model: name, Since: x.since, Waiting: x.waiting}
+			if now.Before(x.prefetchUntil) {
+				want.Worth = x.worth
+			}
+			out = append(out, want)
 		}
 	}
 	slices.SortFunc(out, func(a, b placement.Want) int {
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -147,6 +147,33 @@
 	check.Equal(len(w.seen()), 2)
 }
 
+// TestDrainingWhileWaiting guards against a request that gets no answer because
+// it still waited for a model when its instance ended.
+func TestDrainingWhileWaiting(t *testing.T) {
+	check := is.New(t)
+	w := newWorld(t, chunks(true, event1))
+	w.engines()
+	release, left := w.loader.holdLoads()
+	answers := make(chan answer, 1)
+	go func() { answers <- w.send("POST", "/model/", "x", "Jacinthbend-Model: m/a1") }()
+	w.eventually("request in work", func() bool { return w.machine.Running() > 0 })
+	w.gateway.RefuseWaiting()
+	select {
+	case <-left:
+		// The load goes on without its caller.
+	case a := <-answers:
+		answers <- a // refused before it asked for the load
+	case <-time.After(testPatience):
+		t.Fatal("the wait for the load did not end")
+	}
+	release()
+	a := <-answers
+	check.NoErr(a.err)
+	check.Equal(a.status, 503)
+	check.True(a.header.Get("Retry-After") != "")
+	check.Equal(len(w.seen()), 0)
+}
+
 // TestTimeout guards against a request that is held past its route's timeout,
 // and against a claim that it has not run.
 func TestTimeout(t *testing.T) {
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -27,10 +27,15 @@
 	if choice.AgentAddr == "" {
 		return notLoaded
 	}
+	most := x.loadLeft()
+	if choice.LoadTime > most {
+		x.giveUp("the model cannot be loaded in time", choice.LoadTime)
+		return tooLate
+	}
 	start := time.Now()
 	defer func() { x.loadWait += time.Since(start) }()
 	resp, err := x.g.Loader.Ensure(ctx, choice.AgentAddr, agentapi.EnsureRequest{
-		Model: x.query.Model, Adapter: x.query.Adapter, WaitMS: x.left().Milliseconds(),
+		Model: x.query.Model, Adapter: x.query.Adapter, WaitMS: most.Milliseconds(),
 	})
 	if err != nil {
 		if ctx.Err() == nil {
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -42,10 +42,17 @@
 	// exitAt is when a draining instance ends, in Unix nanoseconds, once it takes
 	// only requests that are over by then; 0 before.
 	exitAt atomic.Int64
+	// leaving ends shortly before a draining instance does.
+	leaving context.Context
+	leave   context.CancelFunc
 }
 
 // New returns a gateway that refuses everything until Update is called.
-func New(o Options) *Gateway { return &Gateway{Options: o} }
+func New(o Options) *Gateway {
+	g := &Gateway{Options: o}
+	g.leaving, g.leave = context.WithCancel(context.Background())
+	return g
+}
 
 // Update takes over a new view.
 func (g *Gateway) Update(v *fleet.View) {
@@ -62,6 +69,10 @@
 // CloseBy makes a draining instance refuse requests that may last beyond its end.
 func (g *Gateway) CloseBy(exit time.Time) { g.exitAt.Store(exit.UnixNano()) }
 
+// RefuseWaiting refuses the requests of a draining instance that wait for a load
+// or an upstream, while their answers can still be written.
+func (g *Gateway) RefuseWaiting() { g.leave() }
+
 // outlasts reports whether a request with the deadline may be cut by the end of
 // a draining instance.
 func (g *Gateway) outlasts(deadline time.Time) bool {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -24,19 +24,25 @@
 	// upstream that is known to be usable then; a longer wait is the caller's,
 	// told by Retry-After, who honours it up to a third of its time.
 	waitShare = 0.4
+	// loadShare of the whole time is the most that a request waits for a load;
+	// callers leave after about 0.7 of it.
+	loadShare = 0.7
 	// unknownRetry is told to callers when nothing better is known.
 	unknownRetry = 500 * time.Millisecond
 )
 
 // run sends the request to upstreams until one serves it or nothing is left to try.
 func (x *call) run(ctx context.Context) {
+	waiting, stop := context.WithCancel(ctx)
+	defer stop()
+	defer context.AfterFunc(x.g.leaving, stop)()
 	for {
-		if x.ended(ctx) {
+		if x.ended(ctx) || x.refusedLeaving() {
 			return
 		}
 		choice, shortage := x.g.Pool.Pick(&x.query)
 		if choice == nil {
-			if x.waitFor(ctx, shortage) {
+			if x.waitFor(waiting, shortage) {
 				continue
 			}
 			x.giveUp(shortage.Reason, shortage.After)
@@ -44,9 +50,9 @@
 		}
 		x.wantReplica(choice)
 		if choice.Load {
-			switch x.load(ctx, choice) {
+			switch x.load(waiting, choice) {
 			case loaded:
-				if x.ended(ctx) {
+				if x.ended(ctx) || x.refusedLeaving() {
 					return
 				}
 			case notLoaded:
@@ -58,7 +64,7 @@
 		}
 		ticket, shortage := x.g.Pool.Begin(choice, &x.query)
 		if ticket == nil {
-			if shortage.After > 0 && !x.waitFor(ctx, shortage) {
+			if shortage.After > 0 && !x.waitFor(waiting, shortage) {
 				x.giveUp(shortage.Reason, shortage.After)
 				return
 			}
@@ -101,6 +107,21 @@
 	return true
 }
 
+// refusedLeaving ends a request that still waits when the instance is about to
+// end, and reports whether it did.
+func (x *call) refusedLeaving() bool {
+	const reason = "the instance is shutting down"
+	switch {
+	case x.g.leaving.Err() == nil:
+		return false
+	case x.sink.begun || x.held != nil || x.ran > 0:
+		x.giveUp(reason, 0)
+	default:
+		x.refuse(errkind.New(errkind.Draining, reason).After(drainingRetry))
+	}
+	return true
+}
+
 // gone ends a request whose caller has left; nobody reads an answer.
 func (x *call) gone() {
 	const closedByCaller = 499
@@ -137,10 +158,18 @@
 
 // waitFor waits for an upstream that is usable soon and reports whether to try.
 func (x *call) waitFor(ctx context.Context, s upstream.Shortage) bool {
-	if s.After <= 0 || s.After > time.Duration(waitShare*float64(x.left())) {
+	most := time.Duration(waitShare * float64(x.left()))
+	if s.Load {
+		most = x.loadLeft()
+	}
+	if s.After <= 0 || s.After > most {
 		return false
 	}
-	t := time.NewTimer(s.After)
+	pause := s.After
+	if s.Again > 0 {
+		pause = min(pause, s.Again)
+	}
+	t := time.NewTimer(pause)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
@@ -149,6 +178,11 @@
 	return true
 }
 
+// loadLeft is how long the request may still wait for a load.
+func (x *call) loadLeft() time.Duration {
+	return time.Until(x.start.Add(time.Duration(loadShare * float64(x.deadline.Sub(x.start)))))
+}
+
 // mayArrive counts an arrival beyond the first against the shared budget.
 func (x *call) mayArrive() bool {
 	if x.arrivals == 0 {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -176,6 +177,22 @@
 	check.Equal(a.body, event1)
 }
 
+// TestOnlyInWeightStore guards against a request that is held for a model which
+// cannot be loaded in time, and against a load from the weight store for it.
+func TestOnlyInWeightStore(t *testing.T) {
+	check := is.New(t)
+	w := newWorld(t, chunks(true, event1))
+	w.engines()
+	start := time.Now()
+	a := w.send("POST", "/model/", "x", "Jacinthbend-Model: s")
+	check.Equal(a.status, 503)
+	after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+	check.NoErr(err)
+	check.True(after >= 6) // the load takes that long
+	check.True(time.Since(start) < time.Second)
+	check.Equal(len(w.loader.asked), 0)
+}
+
 // TestNoLoad guards against a request without any answer when no engine can
 // load its model.
 func TestNoLoad(t *testing.T) {
--- a/internal/managed/drain.go
+++ b/internal/managed/drain.go
@@ -14,7 +14,10 @@
 	lateRequests = 2800 * time.Millisecond
 	// exitMargin is kept from the end of the grace period.
 	exitMargin = 500 * time.Millisecond
-	drainPoll  = 20 * time.Millisecond
+	// refusalMargin before the end of the drain, requests that no upstream works
+	// on are refused. A slow instance has several hundred of them to answer.
+	refusalMargin = 700 * time.Millisecond
+	drainPoll     = 20 * time.Millisecond
 )
 
 // drain answers the requests that have come or still come, and returns when
@@ -36,6 +39,9 @@
 				break
 			}
 		}
+		if time.Until(end) < refusalMargin {
+			e.gateway.RefuseWaiting()
+		}
 		time.Sleep(drainPoll)
 	}
 	e.logger.Info("stopped", zap.Int64("cut", e.machine.Running()), zap.Duration("took", time.Since(start)))
--- a/internal/managed/unplaced.go
+++ b/internal/managed/unplaced.go
@@ -11,28 +11,26 @@
 )
 
 const (
-	// unplacedPause is how often models that only the weight store has are looked for.
-	unplacedPause = time.Second
-	// unplacedWorth makes such a load displace only models that are hardly asked for.
-	unplacedWorth = 0.5
+	// unplacedPause is how often models that only the weight store has are looked
+	// for; the entry instances take turns of twice this time.
+	unplacedPause = 250 * time.Millisecond
 	// unplacedTimeout bounds a background request, which the agent answers at once.
 	unplacedTimeout = 300 * time.Millisecond
 )
 
-// loadUnplaced has models loaded that only the weight store has. All entry
-// instances ask the same engine, and the agent loads once.
+// loadUnplaced has models loaded that only the weight store has.
 func (e *entry) loadUnplaced(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, unplacedPause)
 		for _, o := range e.pool.Unplaced() {
 			call, cancel := context.WithTimeout(ctx, unplacedTimeout)
-			_, err := e.agents.Ensure(call, o.AgentAddr, agentapi.EnsureRequest{Model: o.Model, Background: true, Worth: unplacedWorth})
+			_, err := e.agents.Ensure(call, o.AgentAddr, agentapi.EnsureRequest{Model: o.Model, Background: true, Worth: o.Worth})
 			cancel()
 			if err != nil {
 				e.logger.Debug("agent did not take the request for a model", zap.String("model", o.Model), telemetry.Err(err))
 				continue
 			}
-			e.logger.Info("model without a copy asked for", zap.String("model", o.Model), zap.String("agent", o.AgentAddr))
+			e.logger.Info("model without a copy asked for", zap.String("model", o.Model), zap.String("agent", o.AgentAddr), zap.Float64("worth", o.Worth))
 		}
 	}
 }
--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -26,7 +26,8 @@
 	Since time.Time
 	// Waiting is how many requests wait; 0 is a background load.
 	Waiting int
-	// Worth is the demand that a background load would carry.
+	// Worth is the demand that a background load would carry; 0 is no background
+	// load. Only those may take weights from the weight store.
 	Worth float64
 }
 
--- a/internal/placement/next.go
+++ b/internal/placement/next.go
@@ -42,7 +42,7 @@
 		return Action{}
 	}
 	fromStore := !slices.Contains(in.Holdings.InMemory, w.Model) && !slices.Contains(in.Holdings.OnDisk, w.Model)
-	if fromStore && !in.StoreAllowed {
+	if fromStore && (!in.StoreAllowed || w.Worth <= 0) {
 		return Action{}
 	}
 	if Free(in.Engine, in.Holdings) >= model.WeightsMB {
--- a/internal/upstream/choice.go
+++ b/internal/upstream/choice.go
@@ -15,6 +15,8 @@
 	Load bool
 	// LoadTime is the estimate for that.
 	LoadTime time.Duration
+	// FromStore tells that the load would take the weights from the weight store.
+	FromStore bool
 	// Delay is the estimated time to the first token once it is loaded.
 	Delay time.Duration
 	// Uncached is how many tokens of the prompt the upstream must read.
@@ -31,4 +33,8 @@
 	Reason string
 	// After is when one may be available; 0 is unknown.
 	After time.Duration
+	// Again is when to look again, if before After; 0 is not before.
+	Again time.Duration
+	// Load tells that the wait is for a load.
+	Load bool
 }
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -75,7 +75,7 @@
 	c.delay = engineDelay(l, c.uncached)
 	if c.holds && !c.adapter {
 		// An engine that loads a model takes no order for an adapter meanwhile.
-		c.delay += time.Duration(adapterMS*float64(time.Millisecond)) + s.loadingLeft(now)
+		c.delay += adapterLoad + s.loadingLeft(now)
 	}
 	return c
 }
@@ -138,14 +138,21 @@
 	if len(holding) > 0 {
 		best := slices.MinFunc(holding, byDelay)
 		choice := best.choice()
-		choice.Load = !best.adapter
+		if choice.Load = !best.adapter; choice.Load {
+			choice.LoadTime = adapterLoad + best.state.loadingLeft(now)
+		}
 		choice.Replica = p.replica(q, best, len(holding), other, now)
 		return choice, Shortage{}
 	}
-	if choice := p.fastestLoad(q, other, now); choice != nil {
-		return choice, Shortage{}
+	choice := p.fastestLoad(q, other, now)
+	if choice == nil {
+		return nil, Shortage{Reason: "no engine can load the model"}
 	}
-	return nil, Shortage{Reason: "no engine can load the model"}
+	if choice.FromStore {
+		// Loads from the weight store are decided by Unplaced, not by requests.
+		return nil, Shortage{Reason: "only the weight store has the model", After: p.storeWait(q, choice.LoadTime, now), Again: storePoll, Load: true}
+	}
+	return choice, Shortage{}
 }
 
 // Estimates for loads that queue at one engine.
@@ -180,11 +187,24 @@
 	if best == nil {
 		return nil
 	}
+	if !best.state.agentKnows(now) {
+		// The agent itself tells at once whether it can load.
+		bestTime -= silentAgent
+	}
 	choice := best.choice()
-	choice.Load, choice.LoadTime = true, bestTime
+	choice.Load, choice.LoadTime, choice.FromStore = true, bestTime, fromStore(best.state, model.Name, now)
 	return choice
 }
 
+// fromStore reports whether a load would take the weights from the weight store,
+// and is not under way or asked for.
+func fromStore(s *state, model string, now time.Time) bool {
+	if h := s.holdings(now); h != nil && (slices.Contains(h.InMemory, model) || slices.Contains(h.OnDisk, model)) {
+		return false
+	}
+	return !s.agentKnows(now) || s.agent.Loading != model && !slices.Contains(s.agent.Wanted, model)
+}
+
 // loadTime estimates when an engine has loaded a model.
 func loadTime(s *state, m fleet.Model, now time.Time) time.Duration {
 	h := s.holdings(now)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -35,11 +35,15 @@
 	// newest is the upstream that started last at each address.
 	newest map[string]string
 	asked  map[string]*askedFor
+	// storeLimits are kept for each service.
+	storeLimits map[string]*storeLimit
+	// atHandAt is when a copy of a model was last seen, by service and model.
+	atHandAt map[string]time.Time
 }
 
 // NewPool returns the pool of the entry instance called self, without upstreams.
 func NewPool(self, dataCentre string, b Bounds) *Pool {
-	return &Pool{self: self, bounds: b, dataCentre: dataCentre, states: make(map[string]*state), asked: make(map[string]*askedFor)}
+	return &Pool{self: self, bounds: b, dataCentre: dataCentre, states: make(map[string]*state), asked: make(map[string]*askedFor), storeLimits: make(map[string]*storeLimit), atHandAt: make(map[string]time.Time)}
 }
 
 // Update takes over a new view.
@@ -120,6 +124,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s, ok := p.states[upstreamID]; ok {
+		if s.agent != nil && s.agent.StoreLoad && st.Known && !st.StoreLoad {
+			p.storeLimitOf(s.up.Service).took(st.StoreSlowdown, p.storeLoads(s.up.Service, time.Now()))
+		}
 		s.agent, s.agentAt = st, time.Now()
 		if st.Known {
 			s.heardAt = s.agentAt
--- a/internal/upstream/score.go
+++ b/internal/upstream/score.go
@@ -24,8 +24,8 @@
 	farMS = 4.0
 	// failingMS is what an upstream that fails all its requests adds.
 	failingMS = 3000.0
-	// adapterMS is the load of a small adapter.
-	adapterMS = 15.0
+	// adapterLoad is the load of a small adapter with its order.
+	adapterLoad = 15 * time.Millisecond
 )
 
 // load is what the estimate of an engine is made of.
--- a/internal/upstream/unplaced.go
+++ b/internal/upstream/unplaced.go
@@ -1,20 +1,44 @@
 package upstream
 
 import (
+	"cmp"
+	"fmt"
 	"slices"
 	"time"
+
+	"github.com/jacinthbend/jacinthbend/internal/fleet"
+)
+
+// Figures of loads from the weight store.
+const (
+	// lostGrace is how long a model may be without a copy before it is loaded from
+	// the weight store: engines that crash are back with their disks in seconds.
+	lostGrace = 2 * time.Second
+	// unplacedTurn is how long one entry instance alone decides on loads from the
+	// weight store, so that two do not begin more than may run at once. The news
+	// of a load reaches all instances in less.
+	unplacedTurn = 500 * time.Millisecond
+	// unplacedLeast is the least worth of such a load, and unplacedGain the factor
+	// on the demand for the model: what it displaces comes back from disk in under
+	// a second.
+	unplacedLeast = 0.5
+	unplacedGain  = 3.0
+	// storePoll is how often a waiting request looks for a load of its model.
+	storePoll = 250 * time.Millisecond
 )
 
 // UnplacedModel is a model that no engine has at hand, with the engine to load it.
 type UnplacedModel struct {
 	Model     string
 	AgentAddr string
+	// Worth is the demand that the copy would carry.
+	Worth float64
 }
 
-// Unplaced returns the models that only the weight store has. The first request
-// for one of them would wait for a load of many seconds, longer than most
-// callers do. Nothing is returned while an engine's agent is silent, since it may
-// have what the others lack.
+// Unplaced returns the models to load from the weight store now. The first
+// request for one of them would wait for many seconds, longer than most callers
+// do. Nothing is returned while an engine's agent is silent, since it may have
+// what the others lack, or while another entry instance has the turn.
 func (p *Pool) Unplaced() []UnplacedModel {
 	now := time.Now()
 	p.mu.Lock()
@@ -22,45 +46,118 @@
 	if p.view == nil {
 		return nil
 	}
+	turn := now.UnixNano() / int64(unplacedTurn)
+	if turn%int64(max(1, p.view.Entries())) != int64(p.rank) {
+		return nil
+	}
 	var out []UnplacedModel
 	for name, service := range p.view.Config.Services {
 		if service.Engine == nil {
 			continue
 		}
-		var engines []candidate
-		atHand := make(map[string]bool)
-		complete := true
-		for _, s := range p.states {
-			if s.up.Service != name || !p.usable(s, now) {
-				continue
-			}
-			if !s.agentKnows(now) {
-				complete = false
-				break
-			}
-			h := s.holdings(now)
-			for m := range h.Adapters {
-				atHand[m] = true
-			}
-			for _, m := range slices.Concat(h.InMemory, h.OnDisk, s.agent.Wanted, []string{s.agent.Loading}) {
-				atHand[m] = true
-			}
-			engines = append(engines, candidate{state: s})
+		if engines, complete := p.engines(name, now); complete {
+			out = append(out, p.unplaced(name, service.Engine, engines, turn, now)...)
 		}
-		if !complete {
+	}
+	return out
+}
+
+// engines returns the usable engines of a service, and whether the agents of all
+// of them are known.
+func (p *Pool) engines(service string, now time.Time) ([]candidate, bool) {
+	var engines []candidate
+	for _, s := range p.states {
+		if s.up.Service != service || !p.usable(s, now) {
 			continue
 		}
-		for model := range service.Engine.Models {
-			if atHand[model] {
-				continue
-			}
-			for i := range engines {
-				engines[i].rank = rendezvous(model, engines[i].state.up.ID)
-			}
-			if c := p.fastestLoad(&Query{Service: name, Model: model}, engines, now); c != nil {
-				out = append(out, UnplacedModel{Model: model, AgentAddr: c.AgentAddr})
-			}
+		if !s.agentKnows(now) {
+			return nil, false
 		}
+		engines = append(engines, candidate{state: s})
+	}
+	return engines, true
+}
+
+func (p *Pool) unplaced(service string, spec *fleet.Engine, engines []candidate, turn int64, now time.Time) []UnplacedModel {
+	atHand := make(map[string]bool)
+	for _, e := range engines {
+		h := e.state.holdings(now)
+		for m := range h.Adapters {
+			atHand[m] = true
+		}
+		for _, m := range slices.Concat(h.InMemory, h.OnDisk, e.state.agent.Wanted, []string{e.state.agent.Loading}) {
+			atHand[m] = true
+		}
+	}
+	var missing []string
+	for model := range spec.Models {
+		key := service + "/" + model
+		if atHand[model] {
+			p.atHandAt[key] = now
+		} else if now.Sub(p.atHandAt[key]) > lostGrace {
+			missing = append(missing, model)
+		}
+	}
+	slices.SortFunc(missing, func(a, b string) int {
+		return cmp.Or(cmp.Compare(p.demandOf(b, now), p.demandOf(a, now)), cmp.Compare(a, b))
+	})
+	free := max(0, p.storeLimitOf(service).limit()-p.storeLoads(service, now))
+	var out []UnplacedModel
+	for _, model := range missing[:min(free, len(missing))] {
+		// The engine changes from turn to turn, since one may have nothing to displace.
+		for i := range engines {
+			engines[i].rank = rendezvous(fmt.Sprint(model, turn), engines[i].state.up.ID)
+		}
+		c := p.fastestLoad(&Query{Service: service, Model: model}, engines, now)
+		if c == nil {
+			continue
+		}
+		worth := max(unplacedLeast, unplacedGain*p.demandOf(model, now)*float64(max(1, p.view.Entries())))
+		out = append(out, UnplacedModel{Model: model, AgentAddr: c.AgentAddr, Worth: worth})
+		engines = slices.DeleteFunc(engines, func(e candidate) bool { return e.state.up.ID == c.Upstream.ID })
 	}
 	return out
 }
+
+// demandOf is the decayed count of this instance's requests for a model.
+func (p *Pool) demandOf(model string, now time.Time) float64 {
+	if a, ok := p.asked[model]; ok {
+		return a.value(now)
+	}
+	return 0
+}
+
+func (p *Pool) storeLimitOf(service string) *storeLimit {
+	l, ok := p.storeLimits[service]
+	if !ok {
+		l = &storeLimit{}
+		p.storeLimits[service] = l
+	}
+	return l
+}
+
+// storeLoads counts the loads from the weight store that run or are about to
+// begin at a service's engines.
+func (p *Pool) storeLoads(service string, now time.Time) int {
+	n := 0
+	for _, s := range p.states {
+		if s.up.Service != service || !s.agentKnows(now) {
+			continue
+		}
+		waits := slices.ContainsFunc(s.agent.Wanted, func(m string) bool {
+			h := s.holdings(now)
+			return h != nil && !slices.Contains(h.InMemory, m) && !slices.Contains(h.OnDisk, m)
+		})
+		if s.agent.StoreLoad || waits {
+			n++
+		}
+	}
+	return n
+}
+
+// storeWait estimates when a model that only the weight store has can be used:
+// loads that run come first.
+func (p *Pool) storeWait(q *Query, load time.Duration, now time.Time) time.Duration {
+	ahead := float64(p.storeLoads(q.Service, now)) / float64(p.storeLimitOf(q.Service).limit())
+	return load + time.Duration(ahead*float64(load)) + unplacedTurn
+}
