Add a soak of the real programs under random faults

Stand-ins of the platform's store and upstreams move from the tests of the managed roles to platform/platformtest, so that both use one copy. bench/soak starts three entry instances and three agents as processes and plays a seeded series of overlapping faults: connections delayed, reset, silenced and cut one way by a loopback proxy; processes killed, paused, stopped, reloaded and restarted by signals; upstreams that crash and return under a new id; outages of the store; configurations. Checked while it runs and at its end: requests run at most once, refusals are true, requests and answers unchanged, whole streams, deadlines, quota, repeats, orders, recovery, no request lost in planned work, a withdrawn key.

--- /dev/null
+++ b/bench/cmd/soak/main.go
@@ -0,0 +1,74 @@
+// Command soak plays random faults on the real programs, one run a seed, and
+// prints what was broken. It exits with 1 if anything was.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/jacinthbend/jacinthbend/bench/fleet"
+	"github.com/jacinthbend/jacinthbend/bench/soak"
+)
+
+func main() {
+	app := kingpin.New("soak", "Plays random faults on the real programs.")
+	seed := app.Flag("seed", "First seed; 0 draws one from the time of day.").Default("1").Uint64()
+	seeds := app.Flag("seeds", "Number of seeds.").Default("1").Int()
+	length := app.Flag("length", "How long faults are played.").Default("15s").Duration()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if *seed == 0 {
+		*seed = uint64(time.Now().UnixNano() % 1_000_000)
+	}
+	dir, err := os.MkdirTemp("", "jacinthbend-soak-bin")
+	app.FatalIfError(err, "make a directory")
+	binaries, err := fleet.Build(context.Background(), dir)
+	app.FatalIfError(err, "build")
+	failed := 0
+	for i := range *seeds {
+		if !play(soak.Options{Binaries: binaries, Seed: *seed + uint64(i), Length: *length}) {
+			failed++
+		}
+	}
+	_ = os.RemoveAll(dir)
+	fmt.Printf("%d of %d seeds failed\n", failed, *seeds)
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+// play plays a seed and reports whether nothing was broken. The logs of a seed
+// that failed are kept.
+func play(o soak.Options) bool {
+	var err error
+	if o.Dir, err = soak.TempDir(o.Seed); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	r, err := soak.Run(o)
+	if err != nil {
+		fmt.Printf("seed %d: %v (logs in %s)\n", o.Seed, err, o.Dir)
+		return false
+	}
+	fmt.Printf("seed %d: planned %v, %d faults, served %d of %d, after recovery %d of %d\n", r.Seed, r.Planned, len(r.Faults), r.Served, r.Asked, r.ServedAfter, r.AskedAfter)
+	if len(r.Breaches) == 0 {
+		_ = os.RemoveAll(o.Dir)
+		return true
+	}
+	const shown = 20
+	for i, b := range r.Breaches {
+		if i == shown {
+			fmt.Printf("  and %d more\n", len(r.Breaches)-shown)
+			break
+		}
+		fmt.Println("  broken:", b)
+	}
+	for _, f := range r.Faults {
+		fmt.Println("  fault:", f)
+	}
+	fmt.Println("  logs in", o.Dir)
+	return false
+}
--- a/bench/fleet/process.go
+++ b/bench/fleet/process.go
@@ -31,6 +31,24 @@
 	done chan error
 }
 
+// NewProcess returns a program with its arguments that is not started yet; it
+// writes to the file log.
+func NewProcess(name, log string, args ...string) *Process {
+	return &Process{Name: name, args: args, log: log}
+}
+
+// End kills the process if it runs, also when it is paused.
+func (p *Process) End() {
+	if p.cmd == nil || p.cmd.Process == nil {
+		return
+	}
+	_ = p.cmd.Process.Kill()
+	select {
+	case <-p.done:
+	case <-time.After(time.Second): // its end was taken by another caller
+	}
+}
+
 // start runs the program with its settings file.
 func (p *Process) start() error {
 	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
--- a/internal/managed/managed_test.go
+++ b/internal/managed/managed_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jacinthbend/jacinthbend/internal/settings"
+	"github.com/jacinthbend/jacinthbend/platform/platformtest"
 )
 
 func TestMain(m *testing.M) {
@@ -28,18 +30,35 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304},
 "tenants":[{"name":"t","api_keys":["%s"],"unit":"tokens","plain_tokens":10,"rate_per_s":10000,"burst_size":10000}]}`
 
+// serveStandIn serves a stand-in until the test ends and returns its address.
+func serveStandIn(t *testing.T, h http.Handler) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
 // site is one entry instance, one agent and one engine over stand-ins.
 type site struct {
 	t      *testing.T
-	store  *storeStandIn
-	engine *engineStandIn
-	base   int
+	store  *platformtest.Store
+	engine *platformtest.Engine
+	// engineAddr is where the engine listens.
+	engineAddr string
+	base       int
 	stop   context.CancelFunc
 	ended  chan error
 }
 
 func newSite(t *testing.T) *site {
-	s := &site{t: t, store: newStoreStandIn(t), engine: newEngineStandIn(t, "i-1", "m1"), base: freePorts(t, 6), ended: make(chan error, 2)}
+	s := &site{t: t, store: platformtest.NewStore(), base: freePorts(t, 6), ended: make(chan error, 2)}
+	s.engine = platformtest.NewEngine(platformtest.EngineOptions{
+		ID: "i-1", Born: 1, WeightsMB: 100, ModelMB: 60, MaxAdapters: 4, OnDisk: []string{"m1", "m2"}, Events: 3,
+	}, "m1")
+	storeAddr := serveStandIn(t, s.store)
+	s.engineAddr = serveStandIn(t, s.engine)
 	s.config(1, "key")
 	s.entry("ready")
 	bounds := settings.ManagedBounds{
@@ -47,10 +66,10 @@
 		ColdOver: 1.5, ColdSlack: 5, LoadWindowS: 5, LoadOver: 1.1,
 	}
 	common := settings.Managed{
-		DataCentre: "z", BindIP: "127.0.0.1", PortRange: [2]int{s.base, s.base + 5}, StoreAddr: s.store.addr(), FirstStart: true, Bounds: bounds,
+		DataCentre: "z", BindIP: "127.0.0.1", PortRange: [2]int{s.base, s.base + 5}, StoreAddr: storeAddr, FirstStart: true, Bounds: bounds,
 	}
 	agent, entry := common, common
-	agent.Instance, agent.UpstreamAddr, agent.Service = "agent-1", s.engine.addr(), "e"
+	agent.Instance, agent.UpstreamAddr, agent.Service = "agent-1", s.engineAddr, "e"
 	entry.Instance, entry.CallerAddr, entry.ReadyAddr = "entry-1", s.addr(4), s.addr(5)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
@@ -68,11 +87,11 @@
 func (s *site) addr(port int) string { return fmt.Sprintf("127.0.0.1:%d", s.base+port) }
 
 func (s *site) config(version int, key string) {
-	s.store.put("keyed.op", "config", fmt.Sprintf(testConfig, version, key))
+	s.store.Put(platformtest.OperatorTopic, platformtest.ConfigKey, fmt.Sprintf(testConfig, version, key))
 }
 
 func (s *site) entry(state string) {
-	s.store.put("keyed.servers", "i-1", fmt.Sprintf(`{"service":"e","address":%q,"zone":"z","capacity":8,"state":%q,"born":1,"models":[{"name":"m1","version":1,"adapters":[]}],"at_hand":{"in_memory":[],"on_disk":["m1","m2"]}}`, s.engine.addr(), state))
+	s.store.Put(platformtest.UpstreamTopic, "i-1", s.engine.Entry("e", "z", s.engineAddr, state))
 }
 
 func (s *site) ready() int {
@@ -86,21 +105,12 @@
 
 // send sends a request for a model and returns the status and the body.
 func (s *site) send(model, key string) (int, string) {
-	check := is.New(s.t)
-	req, err := http.NewRequest(http.MethodPost, "http://"+s.addr(4)+"/s/x", strings.NewReader("prompt"))
-	check.NoErr(err)
-	req.Host = "h.example"
-	for name, v := range map[string]string{
-		"Jacinthbend-Request-Id": "r1", "Jacinthbend-Deadline-Ms": "4000", "Jacinthbend-Model": model, "Jacinthbend-Token-Count": "10,10", "X-Api-Key": key,
-	} {
-		req.Header.Set(name, v)
-	}
-	resp, err := http.DefaultTransport.RoundTrip(req)
-	check.NoErr(err)
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	check.NoErr(err)
-	return resp.StatusCode, string(body)
+	a := platformtest.Send(context.Background(), http.DefaultTransport, s.addr(4), platformtest.Request{
+		ID: "r1", Method: http.MethodPost, Host: "h.example", Path: "/s/x", Key: key, Model: model, Body: "prompt",
+		TokensIn: 10, TokensOut: 10, Deadline: 4 * time.Second,
+	})
+	is.New(s.t).NoErr(a.Err)
+	return a.Status, a.Body
 }
 
 // eventually polls for at most five seconds.
@@ -113,7 +123,7 @@
 	s.t.Fatalf("not within 5 s: %s", what)
 }
 
-const threeEvents = "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"
+const threeEvents = "id: 1\ndata: r1\n\nid: 2\ndata: r1\n\nid: 3\ndata: r1\n\n"
 
 // TestPath guards against a break anywhere on the whole path over real
 // connections: settings, store, entry instance, agent, engine; a load and an
@@ -129,25 +139,24 @@
 		status, body = s.send("m2/a1", "key")
 		return status == http.StatusOK && body == threeEvents
 	})
-	s.engine.mu.Lock()
-	check.True(s.engine.fence > 0)
-	for _, h := range s.engine.served {
+	check.True(s.engine.Fence() > 0)
+	check.Equal(len(s.engine.Breaches()), 0)
+	for _, h := range s.engine.Served() {
 		check.Equal(h.Get("X-Api-Key"), "") // H5
 		check.Equal(h.Get("Jacinthbend-Tenant"), "t")
 	}
-	s.engine.mu.Unlock()
 
 	s.config(2, "new")
 	s.eventually("withdrawn key refused", func() bool { status, _ := s.send("m2", "key"); return status == http.StatusUnauthorized })
 	status, _ = s.send("m2", "new")
 	check.Equal(status, http.StatusOK)
 
-	refused := s.store.set(true)
+	refused := s.store.SetDown(true)
 	// Both roles have met the outage.
-	s.eventually("calls refused by the store", func() bool { return s.store.refusals()-refused >= 2 })
+	s.eventually("calls refused by the store", func() bool { return s.store.Refused()-refused >= 2 })
 	status, _ = s.send("m2", "new") // without the store
 	check.Equal(status, http.StatusOK)
-	_ = s.store.set(false)
+	_ = s.store.SetDown(false)
 
 	s.entry("draining")
 	s.eventually("leaving upstream out of use", func() bool { status, _ := s.send("m2", "new"); return status == http.StatusServiceUnavailable })
