Name a time in every refusal for a team's rate

Loans count from the end of their life, so the times of an account's spending are not in order, and the estimate took one that had passed. Figures: TestWaitBehindLoan fails before and passes after.

--- a/internal/tokenquota/account.go
+++ b/internal/tokenquota/account.go
@@ -86,13 +86,13 @@
 // wait estimates when tokens of the own share are free if nothing else is spent.
 func (a *account) wait(tokens float64, window time.Duration, now time.Time) time.Duration {
 	free := a.share - a.assumedNow(window, now) - a.spentSum
+	// A loan counts from the end of its life, so the times are not in order.
+	var last time.Duration
 	for _, e := range a.spent {
-		if free >= tokens {
-			break
-		}
 		free += e.tokens
-		if free >= tokens {
-			return max(0, window-now.Sub(e.at))
+		last = max(last, window-now.Sub(e.at))
+		if free >= tokens && last > 0 {
+			return last
 		}
 	}
 	return window
--- a/internal/tokenquota/bank_test.go
+++ b/internal/tokenquota/bank_test.go
@@ -256,6 +256,27 @@
 	})
 }
 
+// TestWaitBehindLoan guards against a refusal that names no time, when a loan,
+// which counts from the end of its life, was made before the last own spending.
+func TestWaitBehindLoan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		b := NewBank("entry-000", Bounds{Window: 8 * time.Second}, nil)
+		b.Configure(team(100, 200), entries(1))
+		lent, _ := b.Lend("t", 500)
+		check.Equal(lent, 500.0)
+		time.Sleep(loanLife / 2)
+		check.True(b.Take(context.Background(), "t", 500).Allowed)
+		time.Sleep(b.window() + loanLife/4) // the own spending is over, the loan is not
+		for range 8 {
+			d := b.Take(context.Background(), "t", 900)
+			check.True(!d.Allowed)
+			check.True(d.Wait > 0)
+			time.Sleep(loanLife / 40)
+		}
+	})
+}
+
 // TestLoanLapses guards against borrowed tokens that are spent after the time
 // from which the lender may spend them again.
 func TestLoanLapses(t *testing.T) {
