Refuse at once what overloaded or lost engines cannot serve

Other engines had never held the model, and copies were made from disk only. Busy models get copies from the weight store within its limit. An agent answers waiting calls when its engine is lost or back without the model, and an entry instance leaves a load at a machine that stands still. The new tests fail without their rules.

--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -49,8 +49,10 @@
 type Agent struct {
 	Options
 
-	mu      sync.Mutex
-	known   bool
+	mu    sync.Mutex
+	known bool
+	// lostAt is when the engine stopped to answer.
+	lostAt  time.Time
 	report  fleet.EngineReport
 	id      string
 	version uint64
@@ -151,7 +153,7 @@
 	defer a.mu.Unlock()
 	if a.known {
 		a.Logger.Warn("engine lost", telemetry.Err(err))
-		a.known, a.id = false, ""
+		a.known, a.id, a.lostAt = false, "", time.Now()
 		a.publish()
 	}
 }
--- a/internal/engineagent/agent_test.go
+++ b/internal/engineagent/agent_test.go
@@ -350,6 +350,29 @@
 	})
 }
 
+// TestEnsureAtLostEngine guards against a request that waits for a load at an
+// engine that has crashed, or that is back without the model.
+func TestEnsureAtLostEngine(t *testing.T) {
+	for _, back := range []bool{false, true} {
+		e := newFakeEngine("a", "b")
+		play(t, e, 1, func(check *is.I, a *Agent) {
+			go func() {
+				time.Sleep(200 * time.Millisecond)
+				e.mu.Lock()
+				e.down = true
+				e.mu.Unlock()
+				time.Sleep(200 * time.Millisecond)
+				e.mu.Lock()
+				e.down, e.report = !back, fleet.EngineReport{Born: 2, Holdings: fleet.Holdings{Adapters: map[string][]string{}}}
+				e.mu.Unlock()
+			}()
+			start := time.Now()
+			check.True(!ensure(a, "d", "", 7*time.Second).Loaded)
+			check.True(time.Since(start) < 1200*time.Millisecond)
+		})
+	}
+}
+
 // TestStateCall guards against an entry instance that hears of a load late.
 func TestStateCall(t *testing.T) {
 	e := newFakeEngine("a")
--- a/internal/engineagent/calls.go
+++ b/internal/engineagent/calls.go
@@ -64,13 +64,15 @@
 		a.prefetch(req.Model, req.Worth)
 		return agentapi.EnsureResponse{Loaded: a.holds(req.Model, req.Adapter)}, nil
 	}
-	if !a.atHand(req.Model) {
-		return agentapi.EnsureResponse{Reason: "the engine does not have the model at hand"}, nil
+	if reason := a.hopeless(req.Model); reason != "" {
+		return agentapi.EnsureResponse{Reason: reason}, nil
 	}
 	a.want(names)
 	defer a.unwant(names)
 	t := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
 	defer t.Stop()
+	look := time.NewTicker(ensurePoll)
+	defer look.Stop()
 	for {
 		a.mu.Lock()
 		loaded := a.known && a.report.Holdings.HasAdapter(req.Model, req.Adapter)
@@ -79,8 +81,12 @@
 		if loaded {
 			return agentapi.EnsureResponse{Loaded: true}, nil
 		}
+		if reason := a.hopeless(req.Model); reason != "" {
+			return agentapi.EnsureResponse{Reason: reason}, nil
+		}
 		select {
 		case <-changed:
+		case <-look.C:
 		case <-ctx.Done():
 			return agentapi.EnsureResponse{Reason: "the caller went away"}, nil
 		case <-t.C:
@@ -107,17 +113,34 @@
 	return a.known && a.report.Holdings.HasAdapter(model, adapter)
 }
 
-// atHand reports whether the engine has the model without the weight store, or
-// loads it or is to load it from there. Requests do not start such loads: they
-// take longer than most callers wait, and the engine takes no other order
-// meanwhile.
-func (a *Agent) atHand(model string) bool {
+const (
+	// ensurePoll is how often a waiting call looks whether the engine is still there.
+	ensurePoll = 100 * time.Millisecond
+	// lostGrace is how long an engine may not answer before calls that wait for it
+	// end: some lost reports.
+	lostGrace = 400 * time.Millisecond
+)
+
+// hopeless returns why a call need not wait for a model, or nothing. The engine
+// may have crashed, or has the model only in the weight store, and no load from
+// there is under way or decided. Requests do not start such loads: they take
+// longer than most callers wait, and the engine takes no other order meanwhile.
+func (a *Agent) hopeless(model string) string {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if !a.known {
+		if now.Sub(a.lostAt) > lostGrace {
+			return "the engine does not answer"
+		}
+		return ""
+	}
 	h := &a.report.Holdings
-	return h.HasModel(model) || slices.Contains(h.InMemory, model) || slices.Contains(h.OnDisk, model) || a.loading == model ||
-		a.wants[model] != nil && now.Before(a.wants[model].prefetchUntil)
+	if h.HasModel(model) || slices.Contains(h.InMemory, model) || slices.Contains(h.OnDisk, model) || a.loading == model ||
+		a.wants[model] != nil && now.Before(a.wants[model].prefetchUntil) {
+		return ""
+	}
+	return "the engine does not have the model at hand"
 }
 
 func (a *Agent) prefetch(model string, worth float64) {
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -34,7 +34,9 @@
 	}
 	start := time.Now()
 	defer func() { x.loadWait += time.Since(start) }()
-	resp, err := x.g.Loader.Ensure(ctx, choice.AgentAddr, agentapi.EnsureRequest{
+	w := x.newLoadWatch(ctx, choice.Upstream.ID)
+	defer w.stop()
+	resp, err := x.g.Loader.Ensure(w.ctx, choice.AgentAddr, agentapi.EnsureRequest{
 		Model: x.query.Model, Adapter: x.query.Adapter, WaitMS: most.Milliseconds(),
 	})
 	if err != nil {
@@ -59,8 +61,7 @@
 
 // wantReplica asks for another copy of a model whose engines are slow. The
 // request does not wait for it.
-func (x *call) wantReplica(choice *upstream.Choice) {
-	r := choice.Replica
+func (x *call) wantReplica(r *upstream.Choice) {
 	if r == nil || r.AgentAddr == "" {
 		return
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -40,15 +40,21 @@
 		if x.ended(ctx) || x.refusedLeaving() {
 			return
 		}
+		x.query.Begun = x.sink.begun
 		choice, shortage := x.g.Pool.Pick(&x.query)
 		if choice == nil {
+			x.wantReplica(shortage.Replica)
+			if shortage.Overloaded && x.ran == 0 && x.held == nil {
+				x.refuse(errkind.New(errkind.UpstreamBusy, shortage.Reason).After(shortage.After))
+				return
+			}
 			if x.waitFor(waiting, shortage) {
 				continue
 			}
 			x.giveUp(shortage.Reason, shortage.After)
 			return
 		}
-		x.wantReplica(choice)
+		x.wantReplica(choice.Replica)
 		if choice.Load {
 			switch x.load(waiting, choice) {
 			case loaded:
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -140,7 +140,7 @@
 	x.query = upstream.Query{
 		Service: target(x.route, x.attrs.RequestID), Model: x.attrs.Model, Adapter: x.attrs.Adapter,
 		Prompt: x.attrs.Prompt, TokensIn: x.attrs.TokensIn, Objective: x.route.Objective,
-		DataCentre: x.g.DataCentre, Tried: make(map[string]bool),
+		Urgency: x.urgency(), DataCentre: x.g.DataCentre, Tried: make(map[string]bool),
 	}
 	return nil
 }
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -52,6 +52,15 @@
 	return w
 }
 
+// newLoadWatch returns a watch over a load at the upstream called id.
+func (x *call) newLoadWatch(ctx context.Context, id string) *watch {
+	w := &watch{}
+	w.ctx, w.cancel = context.WithCancelCause(ctx)
+	w.note()
+	go w.run(func() bool { return x.g.Pool.Silent(id) })
+	return w
+}
+
 // run gives the attempt up when nothing has come and the upstream is silent.
 func (w *watch) run(silent func() bool) {
 	t := time.NewTicker(stallPoll)
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -263,6 +263,31 @@
 	})
 }
 
+// TestLoadAtSilentMachine guards against a request that waits for a load at a
+// machine that stands still, although another engine can load the model.
+func TestLoadAtSilentMachine(t *testing.T) {
+	check := is.New(t)
+	w := newWorld(t, chunks(true, event1), chunks(true, event1))
+	w.engines()
+	release, left := w.loader.holdLoads()
+	answers := make(chan answer, 1)
+	go func() { answers <- w.send("POST", "/model/", "x", "Jacinthbend-Model: m/a1") }()
+	w.eventually("load asked for", func() bool { return w.loader.held() })
+	w.eventually("end of the wait", func() bool {
+		w.pool.AgentLost("i-0", true)
+		select {
+		case <-left:
+			return true
+		default:
+			return false
+		}
+	})
+	release()
+	a := <-answers
+	check.Equal(a.status, 200)
+	check.Equal(w.seen()[0].upstream, "i-1")
+}
+
 // TestCallerLeavesDuringLoad guards against a request that is sent to an engine
 // after its caller left while the model was loaded.
 func TestCallerLeavesDuringLoad(t *testing.T) {
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -74,10 +74,12 @@
 	err    error
 	// hold keeps loads until it is closed; an agent does not notice that a caller
 	// has gone. left is closed when the caller of a held load is gone.
-	hold  chan struct{}
-	left  chan struct{}
-	asked []string
-	mu    sync.Mutex
+	hold chan struct{}
+	left chan struct{}
+	// holding tells that a load is held, or was.
+	holding bool
+	asked   []string
+	mu      sync.Mutex
 }
 
 func (l *loader) set(refuse bool) {
@@ -102,12 +104,23 @@
 	return func() { close(hold) }, l.left
 }
 
+func (l *loader) held() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holding
+}
+
 func (l *loader) Ensure(ctx context.Context, _ string, req agentapi.EnsureRequest) (agentapi.EnsureResponse, error) {
 	l.mu.Lock()
 	hold, left := l.hold, l.left
-	l.mu.Unlock()
-	// Background loads have no caller.
+	// Background loads have no caller. One load is held.
 	if hold != nil && !req.Background {
+		l.hold, l.holding = nil, true
+	} else {
+		hold = nil
+	}
+	l.mu.Unlock()
+	if hold != nil {
 		<-ctx.Done()
 		close(left)
 		<-hold
--- a/internal/managed/managed_test.go
+++ b/internal/managed/managed_test.go
@@ -48,8 +48,8 @@
 	// engineAddr is where the engine listens.
 	engineAddr string
 	base       int
-	stop   context.CancelFunc
-	ended  chan error
+	stop       context.CancelFunc
+	ended      chan error
 }
 
 func newSite(t *testing.T) *site {
--- a/internal/upstream/choice.go
+++ b/internal/upstream/choice.go
@@ -37,4 +37,9 @@
 	Again time.Duration
 	// Load tells that the wait is for a load.
 	Load bool
+	// Overloaded tells that engines have more work than they can do in time, so
+	// waiting here would only make the queue longer.
+	Overloaded bool
+	// Replica is another engine worth loading the model at, or nil.
+	Replica *Choice
 }
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -143,6 +143,9 @@
 			choice.LoadTime = adapterLoad + best.state.loadingLeft(now)
 		}
 		choice.Replica = p.replica(q, best, len(holding), other, now)
+		if over, wait := overloaded(q, best); over {
+			return nil, Shortage{Reason: "the engines with the model are overloaded", After: wait, Overloaded: true, Replica: choice.Replica}
+		}
 		return choice, Shortage{}
 	}
 	choice := p.fastestLoad(q, other, now)
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -155,6 +155,89 @@
 	})
 }
 
+// TestOverload replays more prompts for a model than its only engine reads. It
+// guards against queues in which every request passes its deadline, against less
+// urgent requests being served before more urgent ones, against a stream that is
+// cut for it, and against long prompts that are refused sooner than short ones.
+func TestOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		p := newPool(testView(1, 1))
+		const prompt = 4000 // 100 ms
+		var engine, worst time.Duration
+		served, refused := make([]int, 3), make([]int, 3)
+		for i := range 600 { // 20 a second
+			time.Sleep(50 * time.Millisecond)
+			engine = max(0, engine-50*time.Millisecond)
+			q := engineQuery("m", "")
+			q.TokensIn, q.Urgency = prompt, i%3
+			c, s := p.Pick(q)
+			if c == nil {
+				check.True(s.Overloaded)
+				check.True(s.After > 0)
+				refused[q.Urgency]++
+				continue
+			}
+			served[q.Urgency]++
+			ticket, _ := p.Begin(c, q)
+			engine += 100 * time.Millisecond
+			worst = max(worst, engine)
+			time.AfterFunc(engine, func() { ticket.Answered(fleet.Answer{}); ticket.End(Served) })
+		}
+		check.True(worst <= 2*objective)
+		check.True(served[0]+served[1]+served[2] >= 280) // the engine reads 300 in this time
+		check.True(served[0] > served[1] && served[1] > served[2])
+		check.True(refused[0] < refused[2])
+
+		q := engineQuery("m", "")
+		q.TokensIn, q.Urgency, q.Begun = prompt, 2, true
+		c, _ := p.Pick(q)
+		check.True(c != nil)
+		time.Sleep(10 * time.Second) // idle
+		q.Begun, q.TokensIn = false, 40*prompt
+		c, _ = p.Pick(q)
+		check.True(c != nil)
+	})
+}
+
+// TestStoreReplica guards against a model that has become busy and stays at the
+// few engines that had it before, and against such loads in calm use or while an
+// engine has it on disk.
+func TestStoreReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		p := newPool(testView(4, 1))
+		hear := func(onDisk ...string) {
+			for i := range 4 {
+				h := &fleet.Holdings{Adapters: map[string][]string{"d": nil, "r": nil}, OnDisk: onDisk}
+				if i == 0 {
+					h.Adapters["m"] = nil
+				}
+				p.Heard(fmt.Sprintf("i-%d", i), &agentapi.State{Known: true, Born: 1, Holdings: h})
+			}
+		}
+		ask := func(n int) {
+			q := engineQuery("m", "")
+			q.TokensIn = 9000
+			for range n {
+				p.Asked(q)
+			}
+		}
+		hear()
+		ask(5)
+		check.Equal(len(p.Unplaced()), 0)
+		ask(60)
+		hear("m")
+		check.Equal(len(p.Unplaced()), 0) // a load from disk will do
+		hear()
+		got := p.Unplaced()
+		check.Equal(len(got), 1)
+		check.Equal(got[0].Model, "m")
+		check.True(got[0].AgentAddr != "10.0.0.1:2") // has it
+		check.True(got[0].Worth > 10)
+	})
+}
+
 // TestUnplaced guards against a model whose first request waits for the weight
 // store, and against loads of models that a silent agent may have.
 func TestUnplaced(t *testing.T) {
--- a/internal/upstream/query.go
+++ b/internal/upstream/query.go
@@ -14,6 +14,10 @@
 	TokensIn       int
 	// Objective is the time to the first token that earns full credit.
 	Objective time.Duration
+	// Urgency is the request's rank, 0 first.
+	Urgency int
+	// Begun tells that a part of the answer was passed on.
+	Begun bool
 	// DataCentre is that of this instance.
 	DataCentre string
 	// Tried are the upstreams of earlier attempts.
--- a/internal/upstream/unplaced.go
+++ b/internal/upstream/unplaced.go
@@ -28,7 +28,7 @@
 	storePoll = 250 * time.Millisecond
 )
 
-// UnplacedModel is a model that no engine has at hand, with the engine to load it.
+// UnplacedModel is a model to load from the weight store, with the engine to load it.
 type UnplacedModel struct {
 	Model     string
 	AgentAddr string
@@ -36,9 +36,10 @@
 	Worth float64
 }
 
-// Unplaced returns the models to load from the weight store now. The first
-// request for one of them would wait for many seconds, longer than most callers
-// do. Nothing is returned while an engine's agent is silent, since it may have
+// Unplaced returns the models to load from the weight store now: those that no
+// engine has at hand, and those whose engines have too much to do. The first
+// request for one of the former would wait for many seconds, longer than most
+// callers do. Nothing is returned while an engine's agent is silent, since it may have
 // what the others lack, or while another entry instance has the turn.
 func (p *Pool) Unplaced() []UnplacedModel {
 	now := time.Now()
@@ -90,36 +91,73 @@
 			atHand[m] = true
 		}
 	}
-	var missing []string
+	var wanted []UnplacedModel
 	for model := range spec.Models {
 		key := service + "/" + model
-		if atHand[model] {
+		switch {
+		case atHand[model]:
 			p.atHandAt[key] = now
-		} else if now.Sub(p.atHandAt[key]) > lostGrace {
-			missing = append(missing, model)
+			if worth := p.storeReplica(model, engines, now); worth > 0 {
+				wanted = append(wanted, UnplacedModel{Model: model, Worth: worth})
+			}
+		case now.Sub(p.atHandAt[key]) > lostGrace:
+			worth := max(unplacedLeast, unplacedGain*p.demandOf(model, now)*float64(max(1, p.view.Entries())))
+			wanted = append(wanted, UnplacedModel{Model: model, Worth: worth})
 		}
 	}
-	slices.SortFunc(missing, func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.demandOf(b, now), p.demandOf(a, now)), cmp.Compare(a, b))
+	slices.SortFunc(wanted, func(a, b UnplacedModel) int {
+		return cmp.Or(cmp.Compare(b.Worth, a.Worth), cmp.Compare(a.Model, b.Model))
 	})
 	free := max(0, p.storeLimitOf(service).limit()-p.storeLoads(service, now))
 	var out []UnplacedModel
-	for _, model := range missing[:min(free, len(missing))] {
+	for _, w := range wanted[:min(free, len(wanted))] {
 		// The engine changes from turn to turn, since one may have nothing to displace.
-		for i := range engines {
-			engines[i].rank = rendezvous.Rank(fmt.Sprint(model, turn), engines[i].state.up.ID)
+		var without []candidate
+		for _, e := range engines {
+			if !e.state.holdings(now).HasModel(w.Model) {
+				e.rank = rendezvous.Rank(fmt.Sprint(w.Model, turn), e.state.up.ID)
+				without = append(without, e)
+			}
 		}
-		c := p.fastestLoad(&Query{Service: service, Model: model}, engines, now)
+		c := p.fastestLoad(&Query{Service: service, Model: w.Model}, without, now)
 		if c == nil {
 			continue
 		}
-		worth := max(unplacedLeast, unplacedGain*p.demandOf(model, now)*float64(max(1, p.view.Entries())))
-		out = append(out, UnplacedModel{Model: model, AgentAddr: c.AgentAddr, Worth: worth})
+		w.AgentAddr = c.AgentAddr
+		out = append(out, w)
 		engines = slices.DeleteFunc(engines, func(e candidate) bool { return e.state.up.ID == c.Upstream.ID })
 	}
 	return out
 }
 
+// storeReplicaBusy is the share of the time of each engine with a model that its
+// prompts may take, before another copy is worth a load from the weight store.
+const storeReplicaBusy = 0.3
+
+// storeReplica returns the worth of another copy of a model from the weight store,
+// or 0 if its engines bear the demand or another one has it at hand.
+func (p *Pool) storeReplica(model string, engines []candidate, now time.Time) float64 {
+	a, ok := p.asked[model]
+	if !ok {
+		return 0
+	}
+	copies := 0
+	for _, e := range engines {
+		h := e.state.holdings(now)
+		switch {
+		case h.HasModel(model):
+			copies++
+		case !fromStore(e.state, model, now):
+			return 0
+		}
+	}
+	entries := float64(max(1, p.view.Entries()))
+	if a.busy(now)*entries/float64(max(1, copies)) < storeReplicaBusy {
+		return 0
+	}
+	return a.value(now) * entries / float64(copies+1)
+}
+
 // demandOf is the decayed count of this instance's requests for a model.
 func (p *Pool) demandOf(model string, now time.Time) float64 {
 	if a, ok := p.asked[model]; ok {
