Say that dev is ready once a request has been served

Cause: jacinthbend dev printed ready when the configuration was published. Requests were refused view_stale right then and over_rate for about 5 s, until the owner of the team's budget could grant.

--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/pkg/errors"
@@ -53,29 +52,9 @@
 }
 
 func (d *devCommand) runOnce(ctx context.Context, cancel context.CancelFunc, fleet *dev.Fleet) error {
-	if err := sendWhenReady(ctx, d.out, fleet); err != nil {
+	if err := fleet.Once(ctx, d.out); err != nil {
 		return err
 	}
 	cancel()
 	return errors.Wrap(fleet.Wait(), "stop the embedded default")
 }
-
-// sendWhenReady repeats the request while the instances still start.
-func sendWhenReady(ctx context.Context, out io.Writer, fleet *dev.Fleet) error {
-	const (
-		attempts = 150
-		pause    = 100 * time.Millisecond
-	)
-	var err error
-	for range attempts {
-		if err = fleet.Once(ctx, out); err == nil {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(pause):
-		}
-	}
-	return errors.Wrap(err, "the embedded default did not answer")
-}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"time"
 
@@ -69,7 +70,32 @@
 	if err := f.startEntry(ctx, platformAddr, logger); err != nil {
 		return nil, err
 	}
-	return f, f.provision(ctx, platformAddr)
+	if err := f.provision(ctx, platformAddr); err != nil {
+		return f, err
+	}
+	return f, f.waitServing(ctx)
+}
+
+// servingPoll is the time between two tries of a starting fleet.
+const servingPoll = 100 * time.Millisecond
+
+// waitServing waits until a request is served. An instance joins before its
+// team's budget can be spent and the model is loaded, which takes some seconds,
+// and until then every request is refused.
+func (f *Fleet) waitServing(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for {
+		err := f.Once(ctx, io.Discard)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(err, "no request was served in time")
+		case <-time.After(servingPoll):
+		}
+	}
 }
 
 // Wait returns when the fleet has stopped.
