Bound the volume of the logs and never wait for their reader

Change: lines go through a queue of 1 MiB to a goroutine; lines below warn are sampled by zap's sampler, 100 a second and message and then one in 50; a line every 5 s tells what was left out. Failures are not sampled.

--- a/internal/telemetry/logger.go
+++ b/internal/telemetry/logger.go
@@ -32,23 +32,32 @@
 }
 
 // NewLeveledLogger is NewLogger with the output, stdout or stderr, and a level
-// that can be changed.
+// that can be changed. Logging never blocks, and the volume of lines below warn
+// is bounded; a line tells what was left out.
 func NewLeveledLogger(level, instance, dataCentre, output string) (*zap.Logger, zap.AtomicLevel, error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, zap.AtomicLevel{}, errors.Wrap(err, "log level")
 	}
-	c := zap.NewProductionConfig()
-	c.Level = zap.NewAtomicLevelAt(l)
-	c.OutputPaths = []string{output}
-	c.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	c.DisableStacktrace = true
-	c.Sampling = nil
-	logger, err := c.Build(zap.Fields(zap.String("instance", instance), zap.String("data_centre", dataCentre)))
-	if err != nil {
-		return nil, zap.AtomicLevel{}, errors.Wrap(err, "build logger")
+	out := os.Stderr
+	if output == "stdout" {
+		out = os.Stdout
 	}
+	at := zap.NewAtomicLevelAt(l)
 	// hertz logs each closed connection as an error; the roles log what matters of it.
 	hlog.SetOutput(io.Discard)
-	return logger, c.Level, nil
+	return newLogger(out, at, zap.String("instance", instance), zap.String("data_centre", dataCentre)), at, nil
+}
+
+func newLogger(out io.Writer, level zap.AtomicLevel, fields ...zap.Field) *zap.Logger {
+	w, left := newLineWriter(out), &leftOut{counts: make(map[string]int)}
+	logger := zap.New(newCore(jsonEncoder(), w, level, left), zap.AddCaller(), zap.Fields(fields...))
+	go reportLeftOut(logger, left, w)
+	return logger
+}
+
+func jsonEncoder() zapcore.Encoder {
+	c := zap.NewProductionEncoderConfig()
+	c.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	return zapcore.NewJSONEncoder(c)
 }
