Let requests wait for an instance that starts

The instances were starting; the first call to the store was lost on a link that came up later and cost its timeout of 0.7 s and a pause of 0.4 s. An instance that holds no part of a team's allowance and reached no holder said that the rate was used up. Change: a request waits for the start of its instance for 0.4 of its time and 2 s at most; the refusal names the start. The first tries to learn of earlier spending take 150 and 300 ms. A team's tokens are asked for again for a fifth of the time if no holder answers, and the refusal then is view_stale. Ruled out: sending callers elsewhere; the platform sends requests to an instance that is not ready only when none is.

--- a/internal/entrylink/client.go
+++ b/internal/entrylink/client.go
@@ -79,9 +79,8 @@
 var _ tokenquota.Lender = (*Client)(nil)
 
 // Borrow implements tokenquota.Lender.
-func (c *Client) Borrow(ctx context.Context, team string, tokens float64, holders []string) ([]tokenquota.Loan, time.Duration) {
-	var loans []tokenquota.Loan
-	var wait time.Duration
+func (c *Client) Borrow(ctx context.Context, team string, tokens float64, holders []string) tokenquota.Borrowing {
+	var got tokenquota.Borrowing
 	asked := 0
 	for _, m := range c.others() {
 		if tokens <= 0 || asked >= mostLenders || ctx.Err() != nil {
@@ -99,15 +98,16 @@
 			c.failed(m.Addr)
 			continue
 		}
+		got.Reached = true
 		if resp.Tokens > 0 {
-			loans = append(loans, tokenquota.Loan{From: m.Name, Tokens: resp.Tokens})
+			got.Loans = append(got.Loans, tokenquota.Loan{From: m.Name, Tokens: resp.Tokens})
 			tokens -= resp.Tokens
 		}
-		if w := time.Duration(resp.WaitMS) * time.Millisecond; w > 0 && (wait == 0 || w < wait) {
-			wait = w
+		if w := time.Duration(resp.WaitMS) * time.Millisecond; w > 0 && (got.Wait == 0 || w < got.Wait) {
+			got.Wait = w
 		}
 	}
-	return loans, wait
+	return got
 }
 
 // Return implements tokenquota.Lender.
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -147,6 +147,25 @@
 	check.Equal(len(w.seen()), 2)
 }
 
+// TestStarting guards against requests that are refused by an instance which will
+// serve in a moment, when no other one does either, and against a refusal that
+// says that it is shutting down.
+func TestStarting(t *testing.T) {
+	check := is.New(t)
+	w := newStartingWorld(t, whole(200, "ok"))
+	answers := make(chan answer, 1)
+	go func() { answers <- w.send("GET", "/safe/", "") }()
+	w.eventually("connection", func() bool { return w.accepted.Load() > 0 })
+	check.NoErr(w.machine.Serve())
+	check.Equal((<-answers).status, 200)
+
+	w = newStartingWorld(t, whole(200, "ok"))
+	a := w.send("GET", "/safe/", "", "Jacinthbend-Deadline-Ms: 100")
+	check.Equal(a.status, 503)
+	check.True(strings.Contains(a.body, "starting"))
+	check.True(a.header.Get("Retry-After") != "")
+}
+
 // TestDrainingWhileWaiting guards against a request that gets no answer because
 // it still waited for a model when its instance ended.
 func TestDrainingWhileWaiting(t *testing.T) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthbend/jacinthbend/internal/lifecycle"
 	"github.com/jacinthbend/jacinthbend/internal/routetable"
 	"github.com/jacinthbend/jacinthbend/internal/telemetry"
+	"github.com/jacinthbend/jacinthbend/internal/tokenquota"
 	"github.com/jacinthbend/jacinthbend/internal/upstream"
 )
 
@@ -24,11 +25,16 @@
 func (g *Gateway) Serve(ctx context.Context, c *app.RequestContext) {
 	x := &call{g: g, c: c, start: time.Now(), caller: ctx, sink: sink{c: c}}
 	x.read()
+	x.awaitStart()
 	if g.Machine.State() != lifecycle.Serving {
 		c.SetConnectionClose()
 	}
 	if !g.Machine.Begin() && !g.acceptsLate() {
-		x.refuse(errkind.New(errkind.Draining, "the instance is shutting down").After(drainingRetry))
+		if g.Machine.State() == lifecycle.Starting {
+			x.refuse(errkind.New(errkind.ViewStale, "the instance is starting").After(unknownRetry))
+		} else {
+			x.refuse(errkind.New(errkind.Draining, "the instance is shutting down").After(drainingRetry))
+		}
 		x.log()
 		return
 	}
@@ -37,6 +43,36 @@
 	x.log()
 }
 
+const (
+	// mostStartWait bounds the wait for a start, which takes under two seconds.
+	mostStartWait = 2 * time.Second
+	startPoll     = 20 * time.Millisecond
+)
+
+// awaitStart waits until a starting instance serves, for waitShare of the
+// request's time at most. The platform sends requests to an instance that is not
+// ready only when none is, as after a loss of power, so a refusal would send the
+// caller to another one that is starting.
+func (x *call) awaitStart() {
+	if x.g.Machine.State() != lifecycle.Starting {
+		return
+	}
+	wait := defaultWait
+	if a, err := x.g.Dialect.Attributes(x.header); err == nil && a.Wait > 0 {
+		wait = a.Wait
+	}
+	end := x.start.Add(min(mostStartWait, time.Duration(waitShare*float64(wait))))
+	t := time.NewTicker(startPoll)
+	defer t.Stop()
+	for x.g.Machine.State() == lifecycle.Starting && time.Now().Before(end) {
+		select {
+		case <-x.caller.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
 // acceptsLate counts a request in that reached a draining instance. Callers
 // are sent elsewhere only after some seconds, and keep connections open.
 func (g *Gateway) acceptsLate() bool { return g.Machine.BeginDraining() }
@@ -151,7 +187,10 @@
 		return nil
 	}
 	tokens := cost(x.team, &x.attrs)
-	d := x.g.Quota.Take(ctx, x.team.Name, tokens)
+	d := x.take(ctx, tokens)
+	if d.Unreached {
+		return errkind.New(errkind.ViewStale, "no instance that holds the team's allowance answers").After(unknownRetry)
+	}
 	if !d.Allowed {
 		if len(d.Loans) > 0 {
 			team := x.team.Name
@@ -165,6 +204,32 @@
 	return nil
 }
 
+const (
+	// unreachedShare of the time left is the most that a request waits for a holder
+	// of its team's allowance, and unreachedPause the time between two tries.
+	unreachedShare = 0.2
+	unreachedPause = 60 * time.Millisecond
+)
+
+// take takes tokens, and tries again for a while if no holder answers: several
+// instances may be starting.
+func (x *call) take(ctx context.Context, tokens float64) tokenquota.Decision {
+	end := time.Now().Add(time.Duration(unreachedShare * float64(x.left())))
+	for {
+		d := x.g.Quota.Take(ctx, x.team.Name, tokens)
+		if !d.Unreached || !time.Now().Before(end) {
+			return d
+		}
+		t := time.NewTimer(unreachedPause)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return d
+		case <-t.C:
+		}
+	}
+}
+
 // cost is what a request counts against its team's quota.
 func cost(t *fleet.Team, a *fleet.Attributes) float64 {
 	switch {
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,6 +59,8 @@
 	view    *fleet.View
 	pool    *upstream.Pool
 	logs    *observer.ObservedLogs
+	// accepted counts the requests that the gateway has read.
+	accepted atomic.Int64
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -144,6 +147,24 @@
 }
 
 func newWorld(t *testing.T, scripts ...script) *world {
+	w := newStartingWorld(t, scripts...)
+	is.New(t).NoErr(w.machine.Serve())
+	return w
+}
+
+// countingDialect counts the requests whose attributes were read.
+type countingDialect struct {
+	platform.Dialect
+	read *atomic.Int64
+}
+
+func (d countingDialect) Attributes(h http.Header) (fleet.Attributes, error) {
+	d.read.Add(1)
+	return d.Dialect.Attributes(h)
+}
+
+// newStartingWorld returns a world whose gateway does not serve yet.
+func newStartingWorld(t *testing.T, scripts ...script) *world {
 	w := &world{t: t, machine: lifecycle.New(), closed: make(chan error, 16), hungUp: make(chan struct{}, 64), loader: &loader{}}
 	v := &fleet.View{Upstreams: make(map[string]*fleet.Upstream), Evacuated: map[string]bool{}, Members: map[string]fleet.Member{}}
 	c := &fleet.Config{
@@ -178,7 +199,7 @@
 	w.view, w.pool = v, upstream.NewPool("entry-0", "near", upstream.Bounds{})
 	core, logs := observer.New(zap.DebugLevel)
 	w.logs = logs
-	dialect := platform.Dialect{}
+	dialect := countingDialect{read: &w.accepted}
 	w.gateway = gateway.New(gateway.Options{
 		Dialect: dialect, Pool: w.pool,
 		Exchange: exchange.NewClient(func(h http.Header) (string, time.Duration) {
@@ -191,7 +212,6 @@
 	})
 	w.gateway.Update(v)
 	check := is.New(t)
-	check.NoErr(w.machine.Serve())
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	check.NoErr(err)
 	h := peer.NewServer(ln, peer.ServerOptions{MaxBodyBytes: 1 << 20, WriteTimeout: time.Second, Verbatim: true})
@@ -329,7 +349,10 @@
 
 func (w *world) write(c net.Conn, method, path, body string, header ...string) {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: h.example\r\nJacinthbend-Request-Id: r1\r\nJacinthbend-Deadline-Ms: 3000\r\n", method, path)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: h.example\r\nJacinthbend-Request-Id: r1\r\n", method, path)
+	if !strings.Contains(strings.Join(header, ""), "Jacinthbend-Deadline-Ms") {
+		b.WriteString("Jacinthbend-Deadline-Ms: 3000\r\n")
+	}
 	if !strings.Contains(strings.Join(header, ""), "X-Api-Key") {
 		b.WriteString("X-Api-Key: key\r\n")
 	}
--- a/internal/managed/spending.go
+++ b/internal/managed/spending.go
@@ -15,21 +15,31 @@
 // checkpointPause bounds the rate of checkpoints of one instance.
 const checkpointPause = 150 * time.Millisecond
 
+const (
+	// resumePatience bounds the first try to learn of earlier spending; each further
+	// one has twice the time. A machine's links may come up after its processes,
+	// and a call that was lost then would cost a start its whole timeout.
+	resumePatience = 150 * time.Millisecond
+	resumePause    = 50 * time.Millisecond
+)
+
 // resumeSpending learns what earlier starts of this instance spent. It returns
 // when the store has answered; without it there is no configuration either.
 func (e *entry) resumeSpending(ctx context.Context) {
 	if e.settings.FirstStart {
 		return
 	}
-	for ctx.Err() == nil {
-		start, before, err := e.earlierSpending(ctx)
+	for patience := resumePatience; ctx.Err() == nil; patience *= 2 {
+		try, cancel := context.WithTimeout(ctx, patience)
+		start, before, err := e.earlierSpending(try)
+		cancel()
 		if err == nil {
 			e.quota.Resume(start, before)
 			e.logger.Info("earlier spending known", zap.Bool("joined", start == tokenquota.Joined), zap.Int("busy_teams", len(before.Spent)))
 			return
 		}
 		e.logger.Warn("earlier spending not known yet", telemetry.Err(err))
-		sleep(ctx, announceRetry)
+		sleep(ctx, resumePause)
 	}
 }
 
--- a/internal/tokenquota/bank.go
+++ b/internal/tokenquota/bank.go
@@ -92,15 +92,15 @@
 	}
 	// The life of a loan counts from before it was asked for.
 	lapses := time.Now().Add(loanLife)
-	loans, wait := b.lender.Borrow(ctx, team, tokens-d.Free, d.others)
-	got := 0.0
+	lent := b.lender.Borrow(ctx, team, tokens-d.Free, d.others)
+	loans, got := lent.Loans, 0.0
 	for _, l := range loans {
 		got += l.Tokens
 	}
-	if wait > 0 {
-		d.Wait = min(d.Wait, wait)
+	if lent.Wait > 0 {
+		d.Wait = min(d.Wait, lent.Wait)
 	}
-	d.Loans = loans
+	d.Loans, d.Unreached = loans, !lent.Reached && d.Share == 0
 	if d.Free+got < tokens {
 		return d
 	}
--- a/internal/tokenquota/bank_test.go
+++ b/internal/tokenquota/bank_test.go
@@ -28,8 +28,8 @@
 	self int
 }
 
-func (l lenderOf) Borrow(_ context.Context, team string, tokens float64, holders []string) ([]Loan, time.Duration) {
-	var loans []Loan
+func (l lenderOf) Borrow(_ context.Context, team string, tokens float64, holders []string) Borrowing {
+	var got Borrowing
 	// Instances ask holders in random order.
 	for _, i := range rand.New(rand.NewPCG(1, uint64(l.n))).Perm(len(holders)) {
 		name := holders[i]
@@ -38,11 +38,35 @@
 		}
 		given, _ := l.named(name).Lend(team, tokens)
 		if l.n++; given > 0 && (l.lose == 0 || l.n%l.lose != 0) {
-			loans = append(loans, Loan{name, given})
+			got.Loans = append(got.Loans, Loan{name, given})
 			tokens -= given
 		}
+		got.Reached = true
 	}
-	return loans, 0
+	return got
+}
+
+// unreachable is a lender whose holders do not answer.
+type unreachable struct{}
+
+func (unreachable) Borrow(context.Context, string, float64, []string) Borrowing { return Borrowing{} }
+func (unreachable) Return(context.Context, string, []Loan) error                { return nil }
+
+// TestUnreached guards against a team that is told that its rate is used up when
+// nobody knows.
+func TestUnreached(t *testing.T) {
+	check := is.New(t)
+	told := 0
+	for _, name := range entries(12) {
+		b := NewBank(name, testBounds, unreachable{})
+		b.Configure(team(29000, 68873), entries(12))
+		d := b.Take(context.Background(), "t", 1000)
+		check.True(d.Allowed != d.Unreached)
+		if d.Unreached {
+			told++
+		}
+	}
+	check.Equal(told, 12-leastHolders)
 }
 
 func (l lenderOf) Return(_ context.Context, team string, loans []Loan) error {
--- a/internal/tokenquota/loan.go
+++ b/internal/tokenquota/loan.go
@@ -11,11 +11,19 @@
 	Tokens float64
 }
 
+// Borrowing is what holders gave up for one request.
+type Borrowing struct {
+	Loans []Loan
+	// Wait is when a holder expects to have what is missing; 0 is unknown.
+	Wait time.Duration
+	// Reached tells that a holder answered.
+	Reached bool
+}
+
 // Lender reaches the holders of allowances.
 type Lender interface {
-	// Borrow asks holders for tokens of a team until there are enough. If there are
-	// not, it also returns when a holder expects to have them; 0 is unknown.
-	Borrow(ctx context.Context, team string, tokens float64, holders []string) ([]Loan, time.Duration)
+	// Borrow asks holders for tokens of a team until there are enough.
+	Borrow(ctx context.Context, team string, tokens float64, holders []string) Borrowing
 	// Return gives loans back that were not spent. What does not arrive counts as
 	// spent for a window.
 	Return(ctx context.Context, team string, loans []Loan) error
