--- a/internal/entrylink/messages.go
+++ b/internal/entrylink/messages.go
@@ -17,6 +17,8 @@
 
 // borrowResponse has the tokens that the lender took off its own balance.
 type borrowResponse struct {
+	// Holder tells that the instance knows that it holds a part of the allowance.
+	Holder bool    `json:"holder"`
 	Tokens float64 `json:"tokens"`
 	// WaitMS is when the lender expects to have the rest, in ms; 0 is unknown.
 	WaitMS int64 `json:"wait_ms,omitempty"`
--- a/internal/entrylink/server.go
+++ b/internal/entrylink/server.go
@@ -15,7 +15,7 @@
 
 // Lender gives up tokens of a team.
 type Lender interface {
-	Lend(team string, tokens float64) (float64, time.Duration)
+	Lend(team string, tokens float64) (given float64, wait time.Duration, holder bool)
 	Return(team string, tokens float64)
 }
 
@@ -28,8 +28,8 @@
 // Register serves the calls of other entry instances.
 func Register(r *route.Engine, lender Lender, records Records) {
 	peer.Handle(r, pathBorrow, func(_ context.Context, req borrowRequest) (borrowResponse, error) {
-		tokens, wait := lender.Lend(req.Team, req.Tokens)
-		return borrowResponse{Tokens: tokens, WaitMS: wait.Milliseconds()}, nil
+		tokens, wait, holder := lender.Lend(req.Team, req.Tokens)
+		return borrowResponse{Holder: holder, Tokens: tokens, WaitMS: wait.Milliseconds()}, nil
 	})
 	peer.Handle(r, pathReturn, func(_ context.Context, req returnRequest) (returnResponse, error) {
 		lender.Return(req.Team, req.Tokens)
--- a/internal/tokenquota/bank.go
+++ b/internal/tokenquota/bank.go
@@ -183,24 +183,25 @@
 }
 
 // Lend gives up to tokens of a team to another instance. If it has less, it
-// tells when it expects to have them; 0 is unknown.
-func (b *Bank) Lend(team string, tokens float64) (float64, time.Duration) {
+// tells when it expects to have them. An instance that holds no part of the
+// allowance, or does not know yet that it does, is no holder.
+func (b *Bank) Lend(team string, tokens float64) (given float64, wait time.Duration, holder bool) {
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a, ok := b.accounts[team]
-	if !ok || tokens <= 0 || a.share == 0 {
-		return 0, 0
+	if !ok || a.share == 0 {
+		return 0, 0, false
 	}
 	a.trim(b.window(), now)
-	given := min(tokens, a.free(b.window(), now))
+	given = max(0, min(tokens, a.free(b.window(), now)))
 	if given > 0 {
 		// The borrower may spend it until the loan's life ends.
 		a.spend(given, now.Add(loanLife))
 		b.noteSpent(a, given, now)
 	}
 	if given < tokens {
-		return given, a.wait(tokens-given, b.window(), now)
+		return given, a.wait(tokens-given, b.window(), now), true
 	}
-	return given, 0
+	return given, 0, true
 }
--- a/internal/tokenquota/bank_test.go
+++ b/internal/tokenquota/bank_test.go
@@ -36,12 +36,12 @@
 		if tokens <= 0 {
 			break
 		}
-		given, _ := l.named(name).Lend(team, tokens)
+		given, _, holder := l.named(name).Lend(team, tokens)
 		if l.n++; given > 0 && (l.lose == 0 || l.n%l.lose != 0) {
 			got.Loans = append(got.Loans, Loan{name, given})
 			tokens -= given
 		}
-		got.Reached = true
+		got.Reached = got.Reached || holder
 	}
 	return got
 }
@@ -52,6 +52,25 @@
 func (unreachable) Borrow(context.Context, string, float64, []string) Borrowing { return Borrowing{} }
 func (unreachable) Return(context.Context, string, []Loan) error                { return nil }
 
+// TestStartingHolder guards against the same while the holders start and know no
+// team yet.
+func TestStartingHolder(t *testing.T) {
+	check := is.New(t)
+	bs := newBanks(12, 0, testBounds, team(29000, 68873))
+	for i := range bs.all {
+		d := take(bs.all[i], 1000)
+		check.True(d.Allowed)
+	}
+	asker := slices.IndexFunc(bs.all, func(b *Bank) bool { return b.accounts["t"].share == 0 })
+	for i := range bs.all {
+		if i != asker {
+			bs.all[i] = bs.start(i, testBounds)
+		}
+	}
+	d := take(bs.all[asker], 1000)
+	check.True(d.Unreached && !d.Allowed)
+}
+
 // TestUnreached guards against a team that is told that its rate is used up when
 // nobody knows.
 func TestUnreached(t *testing.T) {
@@ -287,7 +306,7 @@
 		check := is.New(t)
 		b := NewBank("entry-000", Bounds{Window: 8 * time.Second}, nil)
 		b.Configure(team(100, 200), entries(1))
-		lent, _ := b.Lend("t", 500)
+		lent, _, _ := b.Lend("t", 500)
 		check.Equal(lent, 500.0)
 		time.Sleep(loanLife / 2)
 		check.True(b.Take(context.Background(), "t", 500).Allowed)
