--- a/internal/telemetry/logger_test.go
+++ b/internal/telemetry/logger_test.go
@@ -33,15 +33,19 @@
 	return strings.Count(r.read.String(), with)
 }
 
+// promptReader returns a logger whose lines are read at once.
+func promptReader() (*slowReader, *lineWriter, *leftOut, *zap.Logger) {
+	out := &slowReader{release: make(chan struct{})}
+	close(out.release)
+	w, left := newLineWriter(out), &leftOut{counts: make(map[string]int)}
+	return out, w, left, zap.New(newCore(jsonEncoder(), w, zap.NewAtomicLevel(), left))
+}
+
 // TestBoundedVolume guards against logs that grow with the load, against failures
 // that are left out, and against lines that are missing without a word.
 func TestBoundedVolume(t *testing.T) {
 	check := is.New(t)
-	var out slowReader
-	out.release = make(chan struct{})
-	close(out.release)
-	w, left := newLineWriter(&out), &leftOut{counts: make(map[string]int)}
-	logger := zap.New(newCore(jsonEncoder(), w, zap.NewAtomicLevel(), left))
+	out, w, left, logger := promptReader()
 	const lines = 3000
 	for i := range lines {
 		logger.Info("request served", zap.Int("n", i))
@@ -81,11 +85,7 @@
 // TestLeftOutLine guards against lines that are missing without a word.
 func TestLeftOutLine(t *testing.T) {
 	check := is.New(t)
-	var out slowReader
-	out.release = make(chan struct{})
-	close(out.release)
-	w, left := newLineWriter(&out), &leftOut{counts: make(map[string]int)}
-	logger := zap.New(newCore(jsonEncoder(), w, zap.NewAtomicLevel(), left))
+	out, w, left, logger := promptReader()
 	for range 500 {
 		logger.Info("request served")
 	}
