--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -58,7 +58,7 @@
 	go e.follower.Run(background, topic.Operators, topic.Upstreams, topic.Members)
 	go e.watcher.Run(background)
 	go e.tidy(background)
-	go e.loadUnplaced(background)
+	go e.loadFromStore(background)
 	go p.followSettings(background, e.store)
 	go announce(background, e.store, fleet.Member{
 		Name: s.Instance, Role: fleet.RoleEntry, DataCentre: s.DataCentre, Addr: s.PeerAddr(),
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -156,7 +156,7 @@
 		return nil, Shortage{Reason: "no engine can load the model"}
 	}
 	if choice.FromStore {
-		// Loads from the weight store are decided by Unplaced, not by requests.
+		// Loads from the weight store are decided by StoreLoads, not by requests.
 		return nil, Shortage{Reason: "only the weight store has the model", After: p.storeWait(q, choice.LoadTime, now), Again: storePoll, Load: true}
 	}
 	return choice, Shortage{}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -125,7 +125,7 @@
 	defer p.mu.Unlock()
 	if s, ok := p.states[upstreamID]; ok {
 		if s.agent != nil && s.agent.StoreLoad && st.Known && !st.StoreLoad {
-			p.storeLimitOf(s.up.Service).took(st.StoreSlowdown, p.storeLoads(s.up.Service, time.Now()))
+			p.storeLimitOf(s.up.Service).took(st.StoreSlowdown, p.runningStoreLoads(s.up.Service, time.Now()))
 		}
 		s.agent, s.agentAt = st, time.Now()
 		if st.Known {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -279,12 +279,12 @@
 		}
 		hear()
 		ask(5)
-		check.Equal(len(p.Unplaced()), 0)
+		check.Equal(len(p.StoreLoads()), 0)
 		ask(60)
 		hear("m")
-		check.Equal(len(p.Unplaced()), 0) // a load from disk will do
+		check.Equal(len(p.StoreLoads()), 0) // a load from disk will do
 		hear()
-		got := p.Unplaced()
+		got := p.StoreLoads()
 		check.Equal(len(got), 1)
 		check.Equal(got[0].Model, "m")
 		check.True(got[0].AgentAddr != "10.0.0.1:2") // has it
@@ -292,13 +292,13 @@
 	})
 }
 
-// TestUnplaced guards against a model whose first request waits for the weight
+// TestStoreLoads guards against a model whose first request waits for the weight
 // store, and against loads of models that a silent agent may have.
-func TestUnplaced(t *testing.T) {
+func TestStoreLoads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		check := is.New(t)
 		p := newPool(testView(3, 1))
-		check.Equal(len(p.Unplaced()), 0) // no agent was heard
+		check.Equal(len(p.StoreLoads()), 0) // no agent was heard
 		for i := range 3 {
 			st := &agentapi.State{Known: true, Born: 1, Holdings: &fleet.Holdings{Adapters: map[string][]string{"m": nil}}}
 			if i == 2 {
@@ -306,19 +306,19 @@
 			}
 			p.Heard(fmt.Sprintf("i-%d", i), st)
 		}
-		got := p.Unplaced()
+		got := p.StoreLoads()
 		check.Equal(len(got), 1)
 		check.Equal(got[0].Model, "r")
 		p.Heard("i-1", &agentapi.State{Known: true, Born: 1, Loading: "r", Holdings: &fleet.Holdings{}})
-		check.Equal(len(p.Unplaced()), 0)
+		check.Equal(len(p.StoreLoads()), 0)
 		// The engine with the only copy crashes and is back with its disk.
 		p.Heard("i-2", &agentapi.State{Known: true, Born: 2, Holdings: &fleet.Holdings{}})
-		check.Equal(len(p.Unplaced()), 0)
+		check.Equal(len(p.StoreLoads()), 0)
 		time.Sleep(lostGrace + time.Millisecond)
 		for i := range 3 {
 			p.Heard(fmt.Sprintf("i-%d", i), &agentapi.State{Known: true, Born: 1, Holdings: &fleet.Holdings{}})
 		}
-		check.True(len(p.Unplaced()) > 0)
+		check.True(len(p.StoreLoads()) > 0)
 	})
 }
 
@@ -379,7 +379,7 @@
 		}
 	}
 	for _, p := range f.pools {
-		for _, u := range p.Unplaced() {
+		for _, u := range p.StoreLoads() {
 			var i int
 			_, _ = fmt.Sscanf(u.AgentAddr, "10.0.0.%d:2", &i)
 			if i--; f.doing[i] == "" {
--- a/internal/upstream/unplaced.go
+++ b/internal/upstream/store_loads.go
@@ -15,50 +15,50 @@
 	// lostGrace is how long a model may be without a copy before it is loaded from
 	// the weight store: engines that crash are back with their disks in seconds.
 	lostGrace = 2 * time.Second
-	// unplacedTurn is how long one entry instance alone decides on loads from the
+	// storeTurn is how long one entry instance alone decides on loads from the
 	// weight store, so that two do not begin more than may run at once. The news
 	// of a load reaches all instances in less.
-	unplacedTurn = 500 * time.Millisecond
-	// unplacedLeast is the least worth of such a load, and unplacedGain the factor
+	storeTurn = 500 * time.Millisecond
+	// storeLeastWorth is the least worth of such a load, and storeGain the factor
 	// on the demand for the model: what it displaces comes back from disk in under
 	// a second.
-	unplacedLeast = 0.5
-	unplacedGain  = 3.0
+	storeLeastWorth = 0.5
+	storeGain       = 3.0
 	// storePoll is how often a waiting request looks for a load of its model.
 	storePoll = 250 * time.Millisecond
 )
 
-// UnplacedModel is a model to load from the weight store, with the engine to load it.
-type UnplacedModel struct {
+// StoreLoad is a model to load from the weight store, with the engine to load it.
+type StoreLoad struct {
 	Model     string
 	AgentAddr string
 	// Worth is the demand that the copy would carry.
 	Worth float64
 }
 
-// Unplaced returns the models to load from the weight store now: those that no
+// StoreLoads returns the models to load from the weight store now: those that no
 // engine has at hand, and those whose engines have too much to do. The first
 // request for one of the former would wait for many seconds, longer than most
 // callers do. Nothing is returned while an engine's agent is silent, since it may have
 // what the others lack, or while another entry instance has the turn.
-func (p *Pool) Unplaced() []UnplacedModel {
+func (p *Pool) StoreLoads() []StoreLoad {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.view == nil {
 		return nil
 	}
-	turn := now.UnixNano() / int64(unplacedTurn)
+	turn := now.UnixNano() / int64(storeTurn)
 	if turn%int64(max(1, p.view.Entries())) != int64(p.rank) {
 		return nil
 	}
-	var out []UnplacedModel
+	var out []StoreLoad
 	for name, service := range p.view.Config.Services {
 		if service.Engine == nil {
 			continue
 		}
 		if engines, complete := p.engines(name, now); complete {
-			out = append(out, p.unplaced(name, service.Engine, engines, turn, now)...)
+			out = append(out, p.storeLoadsOf(name, service.Engine, engines, turn, now)...)
 		}
 	}
 	return out
@@ -80,7 +80,7 @@
 	return engines, true
 }
 
-func (p *Pool) unplaced(service string, spec *fleet.Engine, engines []candidate, turn int64, now time.Time) []UnplacedModel {
+func (p *Pool) storeLoadsOf(service string, spec *fleet.Engine, engines []candidate, turn int64, now time.Time) []StoreLoad {
 	atHand := make(map[string]bool)
 	for _, e := range engines {
 		h := e.state.holdings(now)
@@ -91,25 +91,25 @@
 			atHand[m] = true
 		}
 	}
-	var wanted []UnplacedModel
+	var wanted []StoreLoad
 	for model := range spec.Models {
 		key := service + "/" + model
 		switch {
 		case atHand[model]:
 			p.atHandAt[key] = now
 			if worth := p.storeReplica(model, engines, now); worth > 0 {
-				wanted = append(wanted, UnplacedModel{Model: model, Worth: worth})
+				wanted = append(wanted, StoreLoad{Model: model, Worth: worth})
 			}
 		case now.Sub(p.atHandAt[key]) > lostGrace:
-			worth := max(unplacedLeast, unplacedGain*p.demandOf(model, now)*float64(max(1, p.view.Entries())))
-			wanted = append(wanted, UnplacedModel{Model: model, Worth: worth})
+			worth := max(storeLeastWorth, storeGain*p.demandOf(model, now)*float64(max(1, p.view.Entries())))
+			wanted = append(wanted, StoreLoad{Model: model, Worth: worth})
 		}
 	}
-	slices.SortFunc(wanted, func(a, b UnplacedModel) int {
+	slices.SortFunc(wanted, func(a, b StoreLoad) int {
 		return cmp.Or(cmp.Compare(b.Worth, a.Worth), cmp.Compare(a.Model, b.Model))
 	})
-	free := max(0, p.storeLimitOf(service).limit()-p.storeLoads(service, now))
-	var out []UnplacedModel
+	free := max(0, p.storeLimitOf(service).limit()-p.runningStoreLoads(service, now))
+	var out []StoreLoad
 	for _, w := range wanted[:min(free, len(wanted))] {
 		// The engine changes from turn to turn, since one may have nothing to displace.
 		var without []candidate
@@ -175,9 +175,9 @@
 	return l
 }
 
-// storeLoads counts the loads from the weight store that run or are about to
+// runningStoreLoads counts the loads from the weight store that run or are about to
 // begin at a service's engines.
-func (p *Pool) storeLoads(service string, now time.Time) int {
+func (p *Pool) runningStoreLoads(service string, now time.Time) int {
 	n := 0
 	for _, s := range p.states {
 		if s.up.Service != service || !s.agentKnows(now) {
@@ -197,6 +197,6 @@
 // storeWait estimates when a model that only the weight store has can be used:
 // loads that run come first.
 func (p *Pool) storeWait(q *Query, load time.Duration, now time.Time) time.Duration {
-	ahead := float64(p.storeLoads(q.Service, now)) / float64(p.storeLimitOf(q.Service).limit())
-	return load + time.Duration(ahead*float64(load)) + unplacedTurn
+	ahead := float64(p.runningStoreLoads(q.Service, now)) / float64(p.storeLimitOf(q.Service).limit())
+	return load + time.Duration(ahead*float64(load)) + storeTurn
 }
