--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -12,7 +12,8 @@
 
 // failedSeeds once failed, for the cause named.
 var failedSeeds = map[uint64]string{
-	4: "a refusal for a team's rate without Retry-After: the estimate took a time that had passed",
+	4:  "a refusal for a team's rate without Retry-After: the estimate took a time that had passed",
+	32: "requests sent to an instance that had ended, by callers of the soak itself",
 }
 
 // TestSoak plays a short series of each sort, and every seed that once failed.
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -199,12 +199,13 @@
 	return nil
 }
 
-// crashUpstream ends an upstream with all its connections.
-func (w *world) crashUpstream(h *upstreamHost) {
+// crashUpstream ends an upstream with all its connections and returns its id.
+func (w *world) crashUpstream(h *upstreamHost) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.link.reset()
 	_ = h.server.Close()
+	return h.id
 }
 
 // forget takes the entry of a crashed upstream out of the list.
