Learn of changes soon after a store that was silent answers again

The store was silent for 4.3 s; a waiting read begun shortly before its return was never answered and was given up after its wait of 2.5 s and its timeout. Repeats on other idle connections of that time were not answered either. Change: while a topic cannot be read, reads do not wait for records, so that each lost one costs 0.7 s.

--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -98,7 +98,13 @@
 	failing := false
 	for ctx.Err() == nil {
 		start := time.Now()
-		err := f.step(ctx, t, pace)
+		wait := pace.Wait
+		if failing {
+			// A store that was silent never answers what was asked meanwhile. A read
+			// that may wait would learn of that only after its whole wait.
+			wait = 0
+		}
+		err := f.step(ctx, t, wait)
 		pause := pace.Pause
 		if err != nil && ctx.Err() == nil {
 			if !failing {
@@ -115,7 +121,7 @@
 }
 
 // step lists or reads a topic once.
-func (f *Follower) step(ctx context.Context, t Name, pace Pace) error {
+func (f *Follower) step(ctx context.Context, t Name, wait time.Duration) error {
 	f.mu.Lock()
 	next := f.states[t].next
 	f.mu.Unlock()
@@ -127,7 +133,7 @@
 		f.apply(t, page, true)
 		return nil
 	}
-	page, err := f.source.Read(ctx, t, next, pace.Wait)
+	page, err := f.source.Read(ctx, t, next, wait)
 	if errors.Is(err, ErrExpired) {
 		f.logger.Info("records of a topic have expired; listing it anew", zap.String("topic", string(t)), zap.Int64("from", next))
 		page, err = f.source.List(ctx, t)
--- a/internal/topic/follower_test.go
+++ b/internal/topic/follower_test.go
@@ -23,6 +23,8 @@
 	// first is the oldest record still kept.
 	first map[Name]int64
 	down  bool
+	// silent swallows calls, which are never answered.
+	silent bool
 	// reads counts reads by topic.
 	reads map[Name]int
 }
@@ -43,6 +45,24 @@
 	s.down = down
 }
 
+func (s *fakeStore) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+// swallowed waits as a call does that began at a time and is never answered.
+func (s *fakeStore) swallowed(ctx context.Context, began time.Time, wait time.Duration) bool {
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
+	if silent {
+		const timeout = 700 * time.Millisecond
+		sleep(ctx, time.Until(began.Add(wait+timeout)))
+	}
+	return silent
+}
+
 func (s *fakeStore) count(t Name) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -56,7 +76,10 @@
 	s.first[t] = int64(len(s.topics[t]))
 }
 
-func (s *fakeStore) List(_ context.Context, t Name) (Page, error) {
+func (s *fakeStore) List(ctx context.Context, t Name) (Page, error) {
+	if s.swallowed(ctx, time.Now(), 0) {
+		return Page{}, errors.New("no answer")
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -79,7 +102,11 @@
 	s.mu.Lock()
 	s.reads[t]++
 	s.mu.Unlock()
-	for end := time.Now().Add(wait); ; {
+	began := time.Now()
+	for end := began.Add(wait); ; {
+		if s.swallowed(ctx, began, wait) {
+			return Page{}, errors.New("no answer")
+		}
 		s.mu.Lock()
 		down, expired := s.down, from < s.first[t]
 		items := append([]Item(nil), s.topics[t][min(from, int64(len(s.topics[t]))):]...)
@@ -222,6 +249,23 @@
 	})
 }
 
+// TestSilence guards against a change that is not in force three seconds, the
+// platform's time for contact, after a store that was silent answers again,
+// however long it was silent.
+func TestSilence(t *testing.T) {
+	const contact = 3 * time.Second
+	for span := 200 * time.Millisecond; span < 8*time.Second; span += 100 * time.Millisecond {
+		play(t, nil, func(check *is.I, s *fakeStore, f *Follower) {
+			s.setSilent(true)
+			time.Sleep(span)
+			s.setSilent(false)
+			s.put(Operators, "config", "2")
+			time.Sleep(contact)
+			check.Equal(f.View().Config.Version, int64(2))
+		})
+	}
+}
+
 // TestLapsed guards against upstreams that are dropped because their entries
 // lapsed with the store, and against one that is kept although it is gone.
 func TestLapsed(t *testing.T) {
@@ -279,9 +323,9 @@
 		store.put(Operators, "config", "1")
 		f := NewFollower(Options{Source: store, Decoder: plainDecoder{}, Logger: zap.NewNop()})
 		f.topics = []Name{Operators, Members}
-		check.NoErr(f.step(t.Context(), Operators, operatorPace))
+		check.NoErr(f.step(t.Context(), Operators, operatorPace.Wait))
 		check.True(f.View() == nil)
-		check.NoErr(f.step(t.Context(), Members, memberPace))
+		check.NoErr(f.step(t.Context(), Members, memberPace.Wait))
 		check.True(f.View() != nil)
 	})
 }
