Log what interrupted requests have in common and whether their upstream crashed

Change: 'attempt failed' and 'stream interrupted' carry the parts of the prompt, a digest of the request without its id, and whether the upstream's address refuses new connections, which one check for all requests that fail together finds out. No decision depends on it yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -82,8 +82,7 @@
 		ticket.End(upstream.Broken)
 	}
 	r.g.Stats.countAttempt("failed")
-	r.g.Logger.Warn("attempt failed", r.requestIDField(), zap.String("upstream", choice.Upstream.ID), telemetry.Err(err),
-		zap.Duration("left", r.remaining()))
+	r.g.Logger.Warn("attempt failed", r.interruptionFields(ctx, choice, err, !notSent, zap.Duration("left", r.remaining()))...)
 	return retry
 }
 
@@ -267,7 +266,7 @@
 	}
 	ticket.End(outcome)
 	r.g.Stats.countAttempt("broken")
-	r.g.Logger.Warn("stream interrupted", r.requestIDField(), zap.String("upstream", choice.Upstream.ID), zap.Int("events", r.events.Events), telemetry.Err(err))
+	r.g.Logger.Warn("stream interrupted", r.interruptionFields(ctx, choice, err, true, zap.Int("events", r.events.Events))...)
 	r.events.Reset()
 	if r.route.Resumable && r.events.Events > 0 {
 		r.resumeAfter = r.events.LastID
--- a/internal/gateway/env_test.go
+++ b/internal/gateway/env_test.go
@@ -39,6 +39,7 @@
 // receivedRequest is a request as an upstream read it.
 type receivedRequest struct {
 	upstream    string
+	listener    net.Listener
 	requestLine string
 	header      http.Header
 	body        string
@@ -239,13 +240,13 @@
 			env.mu.Lock()
 			env.connCount++
 			env.mu.Unlock()
-			go env.serve(id, c, s)
+			go env.serve(id, ln, c, s)
 		}
 	}()
 	return ln.Addr().String()
 }
 
-func (env *testEnv) serve(id string, c net.Conn, s script) {
+func (env *testEnv) serve(id string, ln net.Listener, c net.Conn, s script) {
 	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
 	for {
@@ -263,7 +264,7 @@
 			return
 		}
 		requestLine, _, _ := strings.Cut(raw.String(), "\r\n")
-		got := receivedRequest{upstream: id, requestLine: requestLine, header: req.Header, body: string(body)}
+		got := receivedRequest{upstream: id, listener: ln, requestLine: requestLine, header: req.Header, body: string(body)}
 		env.mu.Lock()
 		env.received = append(env.received, got)
 		env.mu.Unlock()
@@ -370,6 +371,15 @@
 	}
 }
 
+// crash runs s and ends the upstream: its connection, and new ones are refused.
+func crash(s script) script {
+	return func(c net.Conn, req receivedRequest) bool {
+		_ = req.listener.Close()
+		_ = s(c, req)
+		return false
+	}
+}
+
 // closeWithoutResponse closes the connection without a response.
 func closeWithoutResponse(net.Conn, receivedRequest) bool { return false }
 
--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -8,6 +8,8 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/jacinthbend/jacinthbend/internal/quarantine"
 )
 
 // logEntriesOfR1 returns the log entries of request r1 with the given message.
@@ -55,6 +57,21 @@
 			func(check *is.I, entry map[string]any) {
 				check.Equal(entry["upstream"], "i-0")
 				check.True(entry["error"] != "")
+				check.Equal(entry["crashed"], false)
+			},
+		},
+		{
+			"upstream crashed",
+			[]script{crash(chunkedStream(false, event1))},
+			func(env *testEnv) {
+				_ = env.send("POST", "/stream/", "x", "Jacinthbend-Prompt-Prefix: aa:5,bb:6")
+			},
+			"stream_cut", "stream interrupted",
+			func(check *is.I, entry map[string]any) {
+				check.Equal(entry["crashed"], true)
+				content := entry["content"].([]quarantine.Suspect)
+				check.Equal(content[:2], []quarantine.Suspect{"part/aa", "part/bb"})
+				check.Equal(len(content), 3)
 			},
 		},
 		{
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -52,6 +52,7 @@
 	// exiting is cancelled shortly before a draining instance exits.
 	exiting       context.Context
 	cancelExiting context.CancelFunc
+	crashChecks   crashChecks
 }
 
 // New returns a gateway that refuses all requests until Update is called.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -10,6 +10,7 @@
 	"github.com/jacinthbend/jacinthbend/internal/errkind"
 	"github.com/jacinthbend/jacinthbend/internal/eventstream"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
+	"github.com/jacinthbend/jacinthbend/internal/quarantine"
 	"github.com/jacinthbend/jacinthbend/internal/tokenquota"
 	"github.com/jacinthbend/jacinthbend/internal/upstream"
 )
@@ -33,6 +34,8 @@
 	route  *fleet.Route
 	team   *fleet.Team
 	query  upstream.Query
+	// suspectList is computed by suspects.
+	suspectList []quarantine.Suspect
 	// chargedTokens is the number of tokens taken from the team's quota. loans are
 	// the part of them that other instances lent.
 	chargedTokens float64
--- /dev/null
+++ b/internal/quarantine/doc.go
@@ -0,0 +1,8 @@
+// Package quarantine finds out which requests crash the upstreams that run them, and
+// refuses them.
+//
+// All requests that run at an upstream end with it, so a crash alone does not tell which
+// of them caused it. Each crash is evidence against every suspect that ran there: the
+// digest of each request and each part of its prompt. A suspect that has completed since
+// is cleared of the crash. What most crashes have in common is convicted.
+package quarantine
