Reproduce engines that end one after the other under a part of prompts

Change: platformtest.CrashingEngine ends when it begins to answer a prompt with a certain part and starts again under a new id; three entry instances before eight of them get such requests beside sound ones that share their first part. The bound is the platform's: three requests later than 3 s after the fifth end.

--- /dev/null
+++ b/internal/managed/prompt_crash_test.go
@@ -0,0 +1,43 @@
+package managed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// contactTime is the platform's shortest time between a change and its effect at all
+// instances that reach the store.
+const contactTime = 3 * time.Second
+
+// TestPromptPartCrashesOneEngineAfterTheOther guards against a part of prompts that ends
+// every engine that begins to answer it, at all entry instances and in requests of which
+// no two are alike: more than three of them reach engines later than contactTime after the
+// fifth engine ended, or sound requests suffer for what they share with them.
+func TestPromptPartCrashesOneEngineAfterTheOther(t *testing.T) {
+	check := is.New(t)
+	c := newCrashCluster(t, 3, 8)
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() { defer close(done); c.traffic(stop) }()
+	start := time.Now()
+	<-time.After(2*contactTime + time.Second)
+	close(stop)
+	<-done
+	arrivals, crashes := c.history()
+	t.Logf("%d requests with the part arrived, %d engines ended", len(arrivals), len(crashes))
+	check.True(len(crashes) > 0)
+	if len(crashes) >= 5 {
+		late := 0
+		for _, at := range arrivals {
+			if at.After(crashes[4].Add(contactTime)) {
+				late++
+			}
+		}
+		t.Logf("%d arrived later than %s after the fifth end", late, contactTime)
+		check.True(late <= 3) // requests with the part after they should be known
+	}
+	share, n := c.servedShare(start.Add(contactTime))
+	t.Logf("served %.2f of %d sound requests", share, n)
+	check.True(n >= 20 && share >= 0.5)
+}
