Refuse content that crashes upstreams, at all entry instances

Cause: each entry instance treated each request as new. Nothing related the end of an engine to what ran there, over requests or over instances, and each request was sent on to a second engine. Class: evidence that only the fleet as a whole has was held, or not held, by each instance alone. Change: internal/quarantine. The parts of the prompt and the digest of each request that ran at an upstream that crashed are suspects; a complete answer clears them; what three crashes have in common is convicted and refused with 503 before it is sent; a request is not sent on after a crash if one more would convict it. Instances exchange reports through one record each in the store. Why it works: the harmful part is in every crash, bystanders are not, and a conviction reaches all instances with the next read, also after a restart. Tests of bystanders, two harmful parts, repeats, restarts, an outage of the store and memory bounds come with it.

--- a/internal/errkind/kind.go
+++ b/internal/errkind/kind.go
@@ -39,6 +39,7 @@
 	OutcomeUnknown      Kind = "outcome_unknown"
 	RequestNotFound     Kind = "request_not_found"
 	RequestQuarantined  Kind = "request_quarantined"
+	ContentQuarantined  Kind = "content_quarantined"
 	LogUnavailable      Kind = "log_unavailable"
 	ConfigConflict      Kind = "config_conflict"
 	ConfigInvalid       Kind = "config_invalid"
--- a/internal/errkind/response.go
+++ b/internal/errkind/response.go
@@ -57,6 +57,7 @@
 	OutcomeUnknown:      {http.StatusBadGateway, RanUnknown, false, "Whether the request ran cannot be told; look up its status before using a new key."},
 	RequestNotFound:     {http.StatusNotFound, RanNo, false, "No request with this idempotency key is known."},
 	RequestQuarantined:  {http.StatusUnprocessableEntity, RanNo, false, "This request crashed several upstreams and is refused; change it."},
+	ContentQuarantined:  {http.StatusServiceUnavailable, RanNo, true, "Requests with the named content crashed several upstreams; change it, or retry after the given time."},
 	LogUnavailable:      {http.StatusServiceUnavailable, RanNo, true, "The platform log is unavailable and this call needs it; retry after the given time."},
 	ConfigConflict:      {http.StatusConflict, RanNo, false, "Another change was published first; review the difference and publish again on the new version."},
 	ConfigInvalid:       {http.StatusUnprocessableEntity, RanNo, false, "Correct the listed configuration errors."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,6 +59,10 @@
 func (r *request) attemptFailed(ctx context.Context, detector *stallDetector, choice *upstream.Choice, ticket *upstream.Ticket, err error) attemptResult {
 	var f *upstreamclient.Failure
 	notSent := errors.As(err, &f) && f.Stage == upstreamclient.NotSent
+	var crashed *crash
+	if !notSent && ctx.Err() == nil {
+		crashed = r.findCrash(ctx, choice.Upstream, err)
+	}
 	if !notSent {
 		r.deliveries++
 		r.possibleRuns++
@@ -76,14 +80,14 @@
 	case detector.stalled():
 		err = errStalled
 		ticket.End(upstream.Stalled)
-	case notSent:
+	case notSent || crashed != nil:
 		ticket.End(upstream.Unreachable)
 	default:
 		ticket.End(upstream.Broken)
 	}
 	r.g.Stats.countAttempt("failed")
-	r.g.Logger.Warn("attempt failed", r.interruptionFields(ctx, choice, err, !notSent, zap.Duration("left", r.remaining()))...)
-	return retry
+	r.g.Logger.Warn("attempt failed", r.interruptionFields(choice, err, !notSent, crashed != nil, zap.Duration("left", r.remaining()))...)
+	return r.afterCrash(crashed)
 }
 
 // notExecuted handles a response which states that the upstream did not run the
@@ -135,6 +139,9 @@
 	if resp.Status < http.StatusInternalServerError {
 		ticket.End(upstream.Served)
 		r.sendBuffered(buffered)
+		if resp.Status/100 == 2 {
+			r.recordComplete(resp)
+		}
 		return finished
 	}
 	ticket.End(upstream.Errored)
@@ -232,6 +239,7 @@
 			resp.Close(true)
 			ticket.End(upstream.Served)
 			r.startStream(resp.Status, header)
+			r.recordComplete(resp)
 			return finished
 		}
 		resp.Close(false)
@@ -260,20 +268,25 @@
 		r.endIfDone(ctx)
 		return finished
 	}
+	crashed := r.findCrash(ctx, choice.Upstream, err)
 	outcome := upstream.Broken
-	if detector.stalled() {
+	switch {
+	case detector.stalled():
 		err, outcome = errStalled, upstream.Stalled
+	case crashed != nil:
+		outcome = upstream.Unreachable
 	}
 	ticket.End(outcome)
 	r.g.Stats.countAttempt("broken")
-	r.g.Logger.Warn("stream interrupted", r.interruptionFields(ctx, choice, err, true, zap.Int("events", r.events.Events))...)
+	r.g.Logger.Warn("stream interrupted", r.interruptionFields(choice, err, true, crashed != nil, zap.Int("events", r.events.Events))...)
 	r.events.Reset()
 	if r.route.Resumable && r.events.Events > 0 {
 		r.resumeAfter = r.events.LastID
 	}
 	if r.writer.started && (!r.route.Resumable || r.resumeAfter == "") {
 		r.abortStream("the stream was interrupted and cannot be resumed")
+		r.recordCrash(crashed)
 		return finished
 	}
-	return retry
+	return r.afterCrash(crashed)
 }
--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -11,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
-	"github.com/jacinthbend/jacinthbend/internal/quarantine"
 	"github.com/jacinthbend/jacinthbend/internal/telemetry"
 	"github.com/jacinthbend/jacinthbend/internal/upstream"
 )
@@ -27,16 +27,24 @@
 	checks map[string]*crashCheck
 }
 
-// crashCheck is the check of one upstream. crashed may be read once done is closed.
+// crashCheck is the check of one upstream. crash may be read once done is closed.
 type crashCheck struct {
 	started time.Time
 	done    chan struct{}
-	crashed bool
+	crash   *crash
+}
+
+// crash is the end of an upstream under its requests.
+type crash struct {
+	// id identifies the upstream and its start.
+	id string
+	// cold tells that the upstream had started shortly before.
+	cold bool
 }
 
 // run returns the result of check for the upstream, or that of one that began less than
-// crashCheckTTL ago. It returns false if ctx ends first.
-func (c *crashChecks) run(ctx context.Context, upstreamID string, check func() bool) bool {
+// crashCheckTTL ago. It returns nil if the upstream has not crashed, or if ctx ends first.
+func (c *crashChecks) run(ctx context.Context, upstreamID string, check func() *crash) *crash {
 	now := time.Now()
 	c.mu.Lock()
 	current, ok := c.checks[upstreamID]
@@ -44,9 +52,9 @@
 		c.mu.Unlock()
 		select {
 		case <-current.done:
-			return current.crashed
+			return current.crash
 		case <-ctx.Done():
-			return false
+			return nil
 		}
 	}
 	if c.checks == nil {
@@ -61,8 +69,8 @@
 	c.checks[upstreamID] = current
 	c.mu.Unlock()
 	defer close(current.done)
-	current.crashed = check()
-	return current.crashed
+	current.crash = check()
+	return current.crash
 }
 
 // connectionEnded reports whether an exchange failed because the upstream ended the
@@ -71,41 +79,32 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// crashed reports whether an upstream has crashed, after an exchange with it failed with
-// err. An upstream that is leaving ends without having crashed.
-func (r *request) crashed(ctx context.Context, u *fleet.Upstream, err error) bool {
+// findCrash returns the crash of an upstream that made an exchange with it fail with err,
+// or nil. An upstream that is leaving ends without having crashed.
+func (r *request) findCrash(ctx context.Context, u *fleet.Upstream, err error) *crash {
 	if !connectionEnded(err) || r.g.Pool.Leaving(u.ID) {
-		return false
+		return nil
 	}
-	return r.g.crashChecks.run(ctx, u.ID, func() bool {
-		return r.g.UpstreamClient.Refuses(ctx, u.Addr)
+	return r.g.crashChecks.run(ctx, u.ID, func() *crash {
+		cold := r.g.Pool.Cold(u.ID)
+		if !r.g.UpstreamClient.Refuses(ctx, u.Addr) {
+			return nil
+		}
+		return &crash{id: u.ID + "/" + strconv.FormatInt(u.StartedAtMS, 10), cold: cold}
 	})
 }
 
 // interruptionFields returns the log fields of an attempt that failed. If the request was
 // sent, they tell whether the upstream crashed and what the request has in common with
 // others.
-func (r *request) interruptionFields(ctx context.Context, choice *upstream.Choice, err error, sent bool, more ...zap.Field) []zap.Field {
+func (r *request) interruptionFields(choice *upstream.Choice, err error, sent, crashed bool, more ...zap.Field) []zap.Field {
 	fields := []zap.Field{r.requestIDField(), zap.String("upstream", choice.Upstream.ID), telemetry.Err(err)}
 	fields = append(fields, more...)
 	if !sent {
 		return fields
 	}
-	crashed := r.crashed(ctx, choice.Upstream, err)
 	if crashed {
 		r.g.Stats.countAttempt("crashed")
 	}
 	return append(fields, zap.Bool("crashed", crashed), zap.Any("content", r.suspects()))
 }
-
-// suspects returns what the request may have in common with others that crash upstreams.
-func (r *request) suspects() []quarantine.Suspect {
-	if r.suspectList == nil {
-		id := quarantine.Identity{Method: r.method, Host: r.host, URI: r.uri, Body: r.body, Prompt: r.attrs.Prompt}
-		if r.team != nil {
-			id.Team = r.team.Name
-		}
-		r.suspectList = id.Suspects()
-	}
-	return r.suspectList
-}
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -11,6 +11,7 @@
 	"github.com/jacinthbend/jacinthbend/internal/agentapi"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 	"github.com/jacinthbend/jacinthbend/internal/lifecycle"
+	"github.com/jacinthbend/jacinthbend/internal/quarantine"
 	"github.com/jacinthbend/jacinthbend/internal/retrybudget"
 	"github.com/jacinthbend/jacinthbend/internal/tokenquota"
 	"github.com/jacinthbend/jacinthbend/internal/upstream"
@@ -31,9 +32,11 @@
 	UpstreamClient *upstreamclient.Client
 	Quota          *tokenquota.Limiter
 	RetryBudget    *retrybudget.Budget
-	Loader         Loader
-	Lifecycle      *lifecycle.Machine
-	DataCentre     string
+	// Quarantine has the content that crashes upstreams; nil stands for an empty table.
+	Quarantine *quarantine.Table
+	Loader     Loader
+	Lifecycle  *lifecycle.Machine
+	DataCentre string
 	// MaxBufferedBytes limits the bytes of responses that all requests together
 	// buffer; 0 stands for defaultMaxBufferedBytes.
 	MaxBufferedBytes int64
@@ -58,6 +61,9 @@
 // New returns a gateway that refuses all requests until Update is called.
 func New(o Options) *Gateway {
 	g := &Gateway{Options: o, buffers: newBufferBudget(o.MaxBufferedBytes)}
+	if g.Quarantine == nil {
+		g.Quarantine = quarantine.NewTable()
+	}
 	g.exiting, g.cancelExiting = context.WithCancel(context.Background())
 	return g
 }
--- /dev/null
+++ b/internal/gateway/quarantine.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/jacinthbend/jacinthbend/internal/errkind"
+	"github.com/jacinthbend/jacinthbend/internal/quarantine"
+	"github.com/jacinthbend/jacinthbend/internal/upstreamclient"
+)
+
+// suspects returns what the request may have in common with others that crash upstreams.
+func (r *request) suspects() []quarantine.Suspect {
+	if r.suspectList == nil {
+		id := quarantine.Identity{Method: r.method, Host: r.host, URI: r.uri, Body: r.body, Prompt: r.attrs.Prompt}
+		if r.team != nil {
+			id.Team = r.team.Name
+		}
+		r.suspectList = id.Suspects()
+	}
+	return r.suspectList
+}
+
+// refuseIfQuarantined ends a request that contains what crashes upstreams, and reports
+// whether it did.
+func (r *request) refuseIfQuarantined() bool {
+	if !r.g.Quarantine.Active() {
+		return false
+	}
+	guilty, until, ok := r.g.Quarantine.Check(r.suspects())
+	if !ok {
+		return false
+	}
+	r.g.Stats.quarantined.Inc()
+	r.g.Logger.Info("request contains what crashed several upstreams", r.requestIDField(), zap.String("suspect", string(guilty)), zap.Time("until", until))
+	reason := fmt.Sprintf("%s crashed several upstreams", guilty)
+	if r.writer.started || r.fallback != nil || r.possibleRuns > 0 {
+		r.fail(reason, 0)
+	} else {
+		r.refuse(errkind.New(errkind.ContentQuarantined, reason).WithRetryAfter(time.Until(until)))
+	}
+	return true
+}
+
+// recordCrash records the request as a suspect of a crash; c may be nil.
+func (r *request) recordCrash(c *crash) {
+	if c != nil {
+		r.g.Quarantine.RecordCrash(c.id, c.cold, r.suspects())
+	}
+}
+
+// afterCrash decides what follows an attempt that failed; c is nil if its upstream has not
+// crashed. A request that may be the cause
+// of crashes is not sent to a further upstream.
+func (r *request) afterCrash(c *crash) attemptResult {
+	if c == nil {
+		return retry
+	}
+	r.recordCrash(c)
+	if r.g.Quarantine.MayRetry(r.suspects()) {
+		return retry
+	}
+	r.fail("upstreams crashed that ran requests with the same content", 0)
+	return finished
+}
+
+// recordComplete clears the request's content of earlier crashes. A response that ends
+// with its connection does not count: it ends in the same way if the upstream crashes.
+func (r *request) recordComplete(resp *upstreamclient.Response) {
+	if resp.Framed && (len(r.attrs.Prompt) > 0 || r.g.Quarantine.Active()) {
+		r.g.Quarantine.RecordComplete(r.suspects())
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -34,7 +34,7 @@
 	defer cancel()
 	defer context.AfterFunc(r.g.exiting, cancel)()
 	for {
-		if r.endIfDone(ctx) || r.refuseIfExiting() {
+		if r.endIfDone(ctx) || r.refuseIfExiting() || r.refuseIfQuarantined() {
 			return
 		}
 		r.query.ResponseStarted = r.writer.started
@@ -55,7 +55,7 @@
 		if choice.NeedsLoad {
 			switch r.loadModel(waitCtx, choice) {
 			case loaded:
-				if r.endIfDone(ctx) || r.refuseIfExiting() {
+				if r.endIfDone(ctx) || r.refuseIfExiting() || r.refuseIfQuarantined() {
 					return
 				}
 			case notLoaded:
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -10,14 +10,16 @@
 type Stats struct {
 	set                 *metrics.Set
 	requests, firstByte *metrics.Histogram
+	quarantined         *metrics.Counter
 }
 
 // NewStats registers the metrics in set.
 func NewStats(set *metrics.Set) *Stats {
 	return &Stats{
-		set:       set,
-		requests:  set.NewHistogram("jacinthbend_gateway_request_seconds"),
-		firstByte: set.NewHistogram("jacinthbend_gateway_first_byte_seconds"),
+		set:         set,
+		requests:    set.NewHistogram("jacinthbend_gateway_request_seconds"),
+		firstByte:   set.NewHistogram("jacinthbend_gateway_first_byte_seconds"),
+		quarantined: set.NewCounter("jacinthbend_gateway_quarantined_total"),
 	}
 }
 
--- a/internal/managed/crash_cluster_test.go
+++ b/internal/managed/crash_cluster_test.go
@@ -59,12 +59,9 @@
 		c.engines = append(c.engines, e)
 	}
 	c.store.Put(platformtest.OperatorTopic, platformtest.ConfigKey, fmt.Sprintf(testConfig, 1, "key"))
-	base := freePorts(t, portsPerEntry*entries)
 	for i := range entries {
-		at := func(port int) string { return fmt.Sprintf("127.0.0.1:%d", base+portsPerEntry*i+port) }
 		c.entries = append(c.entries, settings.Managed{
-			Instance: fmt.Sprintf("entry-%d", i), DataCentre: "z", BindIP: "127.0.0.1", CallerAddr: at(4), ReadyAddr: at(5),
-			PortRange: [2]int{base + portsPerEntry*i, base + portsPerEntry*i + 3}, StoreAddr: storeAddr, FirstStart: true,
+			Instance: fmt.Sprintf("entry-%d", i), DataCentre: "z", BindIP: "127.0.0.1", StoreAddr: storeAddr, FirstStart: true,
 			Bounds: settings.ManagedBounds{
 				GraceS: 1, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 200, QuotaWindowS: 8, QuotaOver: 0.1, QuotaSlack: 100000,
 				ColdOver: 1.5, ColdSlack: 5, LoadWindowS: 5, LoadOver: 1.1,
@@ -82,8 +79,13 @@
 	return c
 }
 
-// startEntry starts an entry instance and waits until it is ready.
+// startEntry starts an entry instance and waits until it is ready. Each start has ports of
+// its own: the listeners of an earlier start stay open until the process ends.
 func (c *crashCluster) startEntry(i int) {
+	base := freePorts(c.t, portsPerEntry)
+	at := func(port int) string { return fmt.Sprintf("127.0.0.1:%d", base+port) }
+	c.entries[i].PortRange = [2]int{base, base + portsPerEntry - 3}
+	c.entries[i].CallerAddr, c.entries[i].ReadyAddr = at(portsPerEntry-2), at(portsPerEntry-1)
 	ctx, cancel := context.WithCancel(context.Background())
 	c.stops[i] = cancel
 	m := c.entries[i]
--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -16,6 +16,7 @@
 	"github.com/jacinthbend/jacinthbend/internal/gateway"
 	"github.com/jacinthbend/jacinthbend/internal/lifecycle"
 	"github.com/jacinthbend/jacinthbend/internal/peer"
+	"github.com/jacinthbend/jacinthbend/internal/quarantine"
 	"github.com/jacinthbend/jacinthbend/internal/retrybudget"
 	"github.com/jacinthbend/jacinthbend/internal/settings"
 	"github.com/jacinthbend/jacinthbend/internal/tokenquota"
@@ -41,6 +42,7 @@
 	agentWatcher *agentclient.Watcher
 	agentRelay   *agentrelay.Relay
 	agentReader  *agentrelay.Reader
+	crashReports *crashReports
 	metrics      *metrics.Set
 }
 
@@ -61,6 +63,9 @@
 	p.run(jobs, "follow topics", func(ctx context.Context) {
 		e.follower.Run(ctx, topicwatch.Operators, topicwatch.Upstreams, topicwatch.Members)
 	})
+	p.run(jobs, "read crash reports", e.crashReports.follow)
+	p.run(jobs, "catch up on crash reports", e.crashReports.catchUp)
+	p.run(jobs, "write crash reports", e.crashReports.publish)
 	p.run(jobs, "watch agents", e.agentWatcher.Run)
 	p.run(jobs, "read agent states", e.agentReader.Run)
 	p.run(jobs, "close idle connections", e.pruneConnections)
@@ -96,8 +101,10 @@
 	})
 	e.pool = upstream.NewPool(s.Instance, s.DataCentre, upstream.Bounds{ColdOver: s.Bounds.ColdOver, ColdSlack: s.Bounds.ColdSlack})
 	e.quota = tokenquota.NewLimiter(s.Instance, tokenquota.Bounds{Window: s.QuotaWindow(), Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack}, e.entryClient)
+	crashes := quarantine.NewTable()
+	e.crashReports = newCrashReports(s.Instance, crashes, e.store, e.logger)
 	e.gateway = gateway.New(gateway.Options{
-		Dialect: dialect, Pool: e.pool, UpstreamClient: e.exchange, Quota: e.quota,
+		Quarantine: crashes, Dialect: dialect, Pool: e.pool, UpstreamClient: e.exchange, Quota: e.quota,
 		RetryBudget: retrybudget.New(retrybudget.Bounds{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.RetryWindow()}),
 		Loader:      e.agentClient, Lifecycle: e.lifecycle, DataCentre: s.DataCentre, MaxBufferedBytes: s.MaxBufferedBytes(), Logger: e.logger, Stats: gateway.NewStats(e.metrics),
 	})
@@ -170,6 +177,7 @@
 func (e *entry) waitReady(ctx context.Context) {
 	for ctx.Err() == nil {
 		if v := e.follower.View(); v != nil && len(v.Upstreams) > 0 {
+			e.crashReports.waitListed(ctx)
 			if err := e.lifecycle.Serve(); err != nil {
 				e.logger.Error("cannot start serving", zap.Error(err))
 			}
--- a/internal/managed/prompt_crash_test.go
+++ b/internal/managed/prompt_crash_test.go
@@ -1,6 +1,7 @@
 package managed
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -41,3 +42,36 @@
 	t.Logf("served %.2f of %d sound requests", share, n)
 	check.True(n >= 20 && share >= 0.5)
 }
+
+// TestCrashingPartAfterRestart guards against entry instances that send a part on again
+// which crashed engines before they restarted, all at once, and against one that does not
+// recognise a part while the store is out.
+func TestCrashingPartAfterRestart(t *testing.T) {
+	check := is.New(t)
+	c := newCrashCluster(t, 2, 6)
+	_ = c.store.SetDown(true)
+	c.eventually("part refused by one instance during the outage", func() bool {
+		resp := c.send(0, guiltyPart)
+		return resp.Err == nil && resp.Status == 503 && strings.Contains(resp.Body, "content_quarantined") && resp.Header.Get("Retry-After") != ""
+	})
+	_ = c.store.SetDown(false)
+	c.eventually("part refused by the other instance", func() bool {
+		return strings.Contains(c.send(1, guiltyPart).Body, "content_quarantined")
+	})
+	arrivals, _ := c.history()
+	before := len(arrivals)
+	for i := range c.entries {
+		c.stops[i]()
+	}
+	c.wg.Wait()
+	for i := range c.entries {
+		c.entries[i].FirstStart = false
+		c.startEntry(i)
+	}
+	for i := range c.entries {
+		check.True(strings.Contains(c.send(i, guiltyPart).Body, "content_quarantined"))
+		check.Equal(c.send(i, "5011").Status, 200)
+	}
+	arrivals, _ = c.history()
+	check.Equal(len(arrivals), before)
+}
--- /dev/null
+++ b/internal/quarantine/report.go
@@ -0,0 +1,80 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Report is what one instance tells the others: the crashes of upstreams at which its
+// requests ran, and which suspects have completed since.
+type Report struct {
+	Crashes []Crash `json:"crashes"`
+}
+
+// Report returns this instance's report. It leaves out what convicts nobody: suspects that
+// it has cleared itself, and for a crash that a convicted suspect explains those that it
+// is the only evidence against.
+func (t *Table) Report() Report {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.merge(now)
+	t.judge(now)
+	r := Report{Crashes: make([]Crash, 0, len(t.own))}
+	for _, c := range t.own {
+		out := c.clone()
+		explained := t.explains(c) > 0
+		maps.DeleteFunc(out.Suspects, func(s Suspect, _ int) bool {
+			return c.Cleared[s] || explained && t.evidence(s) <= warmWeight
+		})
+		// A clearance matters only to instances that report the suspect.
+		maps.DeleteFunc(out.Cleared, func(s Suspect, _ bool) bool { return !t.reportedByOthers(c.ID, s) })
+		if len(out.Suspects)+len(out.Cleared) > 0 {
+			r.Crashes = append(r.Crashes, *out)
+		}
+	}
+	slices.SortFunc(r.Crashes, func(a, b Crash) int { return cmp.Or(cmp.Compare(a.AtMS, b.AtMS), cmp.Compare(a.ID, b.ID)) })
+	return r
+}
+
+func (t *Table) reportedByOthers(crashID string, s Suspect) bool {
+	for _, r := range t.reports {
+		for i := range r.Crashes {
+			if _, ok := r.Crashes[i].Suspects[s]; ok && r.Crashes[i].ID == crashID {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// SetReport replaces the report of another instance.
+func (t *Table) SetReport(instance string, r Report) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(r.Crashes) == 0 {
+		delete(t.reports, instance)
+	} else {
+		r.Crashes = r.Crashes[max(0, len(r.Crashes)-maxCrashes):]
+		t.reports[instance] = r
+	}
+	t.merge(now)
+}
+
+// Restore adds what an earlier start of this instance reported.
+func (t *Table) Restore(r Report) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range r.Crashes {
+		c := r.Crashes[i].clone()
+		if known, ok := t.own[c.ID]; ok {
+			c.merge(known)
+		}
+		t.own[c.ID] = c
+	}
+	t.merge(now)
+}
--- /dev/null
+++ b/internal/quarantine/table.go
@@ -0,0 +1,277 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// Table holds the crashes that an instance and the others know of, and what follows from
+// them. It is safe for concurrent use.
+type Table struct {
+	// active is set while any crash is known. Without one, requests are not looked at.
+	active atomic.Bool
+	// changed receives a value when this instance's report should be published.
+	changed chan struct{}
+
+	mu sync.Mutex
+	// own are the crashes that this instance reports, and reports those of the others by
+	// name.
+	own     map[string]*Crash
+	reports map[string]Report
+	// crashes merges all of them, by id; judgement follows from it.
+	crashes   map[string]*Crash
+	judgement judgement
+	// stale tells that there is evidence which has not been judged; judgedAt is when the
+	// last was.
+	stale    bool
+	judgedAt time.Time
+	// mergedAt is when old crashes were last dropped.
+	mergedAt time.Time
+	// sound has the time at which requests with a part last completed here.
+	sound *simplelru.LRU[Suspect, time.Time]
+}
+
+const (
+	// maxSoundParts bounds the parts of which it is known that requests complete.
+	maxSoundParts = 4096
+	// soundTime is how long a completion speaks for a part.
+	soundTime = 30 * time.Second
+	// judgeInterval is how old the judgement may be that Check uses. All requests at an
+	// upstream that crashes add evidence at the same time.
+	judgeInterval = 20 * time.Millisecond
+	// recentTime is how long after a crash the upstreams that return may crash again.
+	recentTime = 20 * time.Second
+	// expiryInterval is how often old crashes are dropped at least.
+	expiryInterval = time.Minute
+)
+
+// NewTable returns a table without crashes.
+func NewTable() *Table {
+	sound, err := simplelru.NewLRU[Suspect, time.Time](maxSoundParts, nil)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return &Table{
+		changed: make(chan struct{}, 1), own: make(map[string]*Crash), reports: make(map[string]Report),
+		crashes: make(map[string]*Crash), sound: sound,
+	}
+}
+
+// Active reports whether any crash is known.
+func (t *Table) Active() bool { return t.active.Load() }
+
+// Recent reports whether an upstream crashed lately, so that others may have more to report.
+func (t *Table) Recent() bool {
+	if !t.Active() {
+		return false
+	}
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range t.crashes {
+		if now.Sub(c.at()) < recentTime {
+			return true
+		}
+	}
+	return false
+}
+
+// Changed receives a value when Report should be published.
+func (t *Table) Changed() <-chan struct{} { return t.changed }
+
+// RecordCrash records that an upstream crashed while a request with these suspects ran
+// there. Requests that ran at the same upstream add to the same crash.
+func (t *Table) RecordCrash(id string, cold bool, suspects []Suspect) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.ownCrash(id, now)
+	c.Cold = c.Cold || cold
+	for position, s := range suspects {
+		c.addSuspect(s, position)
+	}
+	if len(t.own) > maxCrashes {
+		t.merge(now)
+	} else {
+		t.mergeCrash(c)
+	}
+	t.signal()
+}
+
+// ownCrash returns this instance's entry of a crash, which it creates if needed.
+func (t *Table) ownCrash(id string, now time.Time) *Crash {
+	c, ok := t.own[id]
+	if !ok {
+		c = (&Crash{ID: id, AtMS: now.UnixMilli()}).clone()
+		t.own[id] = c
+	}
+	return c
+}
+
+// RecordComplete records that a request with these suspects has completed, which clears
+// them of the crashes known by now.
+func (t *Table) RecordComplete(suspects []Suspect) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	urgent := false
+	for _, s := range suspects {
+		if s.isPart() {
+			t.sound.Add(s, now)
+		}
+		// One crash convicts nobody, so the others may learn of its clearance later.
+		urgent = urgent || t.evidence(s) >= convictWeight-warmWeight
+		for id, c := range t.crashes {
+			if !counts(c, s) {
+				continue
+			}
+			own := t.ownCrash(id, now)
+			own.AtMS, own.Cold = c.AtMS, c.Cold
+			own.Cleared[s], c.Cleared[s] = true, true
+			t.stale = true
+		}
+	}
+	if urgent {
+		t.signal()
+	}
+}
+
+// evidence returns the weight of all crashes that count against a suspect.
+func (t *Table) evidence(s Suspect) int {
+	w := 0
+	for _, c := range t.crashes {
+		if counts(c, s) {
+			w += c.weight()
+		}
+	}
+	return w
+}
+
+// Check returns the convicted one among the suspects of a request and until when it is
+// refused. ok is false if there is none.
+func (t *Table) Check(suspects []Suspect) (guilty Suspect, until time.Time, ok bool) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.judgedAt) >= judgeInterval {
+		t.judge(now)
+	}
+	for _, s := range suspects {
+		if last, convicted := t.judgement.convicted[s]; convicted && now.Before(last.Add(Retention)) {
+			return s, last.Add(Retention), true
+		}
+	}
+	return "", time.Time{}, false
+}
+
+// MayRetry reports whether a request may be sent to another upstream after the one that
+// ran it crashed. It may not if one further crash would convict one of its suspects.
+func (t *Table) MayRetry(suspects []Suspect) bool {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.judge(now)
+	return !slices.ContainsFunc(suspects, func(s Suspect) bool {
+		_, convicted := t.judgement.convicted[s]
+		return convicted || t.judgement.weights[s] >= convictWeight-warmWeight
+	})
+}
+
+// Convicted returns how many suspects are convicted.
+func (t *Table) Convicted() int {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.judge(now)
+	return len(t.judgement.convicted)
+}
+
+// judge judges the crashes if there is new evidence or a suspect's time is up.
+func (t *Table) judge(now time.Time) {
+	if len(t.crashes) > 0 && now.Sub(t.mergedAt) >= expiryInterval {
+		t.merge(now)
+	}
+	if !t.stale && (t.judgement.again.IsZero() || now.Before(t.judgement.again)) {
+		return
+	}
+	t.stale, t.judgedAt = false, now
+	t.judgement = judge(slices.Collect(maps.Values(t.crashes)), func(s Suspect) bool {
+		at, ok := t.sound.Peek(s)
+		return ok && now.Sub(at) < soundTime
+	}, now)
+}
+
+// merge collects the crashes that all instances know of.
+func (t *Table) merge(now time.Time) {
+	t.expire(now)
+	clear(t.crashes)
+	for _, c := range t.own {
+		t.mergeCrash(c)
+	}
+	for _, r := range t.reports {
+		for i := range r.Crashes {
+			t.mergeCrash(&r.Crashes[i])
+		}
+	}
+	t.stale, t.mergedAt = true, now
+	t.active.Store(len(t.crashes) > 0)
+}
+
+func (t *Table) mergeCrash(c *Crash) {
+	if known, ok := t.crashes[c.ID]; ok {
+		known.merge(c)
+	} else {
+		t.crashes[c.ID] = c.clone()
+	}
+	t.stale = true
+	t.active.Store(true)
+}
+
+// expire drops crashes older than Retention, and those beyond maxCrashes.
+func (t *Table) expire(now time.Time) {
+	old := func(c *Crash) bool { return now.Sub(c.at()) >= Retention }
+	maps.DeleteFunc(t.own, func(_ string, c *Crash) bool { return old(c) })
+	for name, r := range t.reports {
+		if slices.IndexFunc(r.Crashes, func(c Crash) bool { return old(&c) }) < 0 {
+			continue
+		}
+		r.Crashes = slices.DeleteFunc(slices.Clone(r.Crashes), func(c Crash) bool { return old(&c) })
+		if t.reports[name] = r; len(r.Crashes) == 0 {
+			delete(t.reports, name)
+		}
+	}
+	if len(t.own) <= maxCrashes {
+		return
+	}
+	// Crashes that explain a conviction are needed for as long as it holds.
+	all := slices.Collect(maps.Values(t.own))
+	slices.SortFunc(all, func(a, b *Crash) int {
+		return cmp.Or(cmp.Compare(t.explains(b), t.explains(a)), cmp.Compare(b.AtMS, a.AtMS))
+	})
+	for _, c := range all[maxCrashes:] {
+		delete(t.own, c.ID)
+	}
+}
+
+// explains returns 1 if a crash counts against a convicted suspect.
+func (t *Table) explains(c *Crash) int {
+	for s := range t.judgement.convicted {
+		if counts(c, s) {
+			return 1
+		}
+	}
+	return 0
+}
+
+func (t *Table) signal() {
+	select {
+	case t.changed <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/quarantine/table_test.go
@@ -0,0 +1,234 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// request returns the suspects of a request with these parts and a digest of its own.
+func request(digest string, parts ...string) []Suspect {
+	var out []Suspect
+	for _, p := range parts {
+		out = append(out, partSuspect(p))
+	}
+	return append(out, Suspect(requestPrefix+digest))
+}
+
+func convicted(t *Table, suspects []Suspect) bool {
+	_, _, ok := t.Check(suspects)
+	return ok
+}
+
+// settle lets Check judge again.
+func settle() { time.Sleep(judgeInterval) }
+
+// TestBystandersShareBlame guards against a harmful part that is not recognised by the
+// fifth crash, and against refusing what only ran beside it: parts that it shares with
+// sound requests, their other parts, and their digests. With two harmful parts, their
+// common first part is in more crashes than each of them.
+func TestBystandersShareBlame(t *testing.T) {
+	for _, guilty := range [][]string{{"bad"}, {"bad1", "bad2"}} {
+		for seed := range uint64(40) {
+			t.Run(fmt.Sprintf("%v/%d", guilty, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					check := is.New(t)
+					r := rand.New(rand.NewPCG(seed, 1))
+					tables := []*Table{NewTable(), NewTable(), NewTable()}
+					publish := func() {
+						for i, from := range tables {
+							for j, to := range tables {
+								if i != j {
+									to.SetReport(fmt.Sprint("entry-", i), from.Report())
+								}
+							}
+						}
+					}
+					sound := func(n int) []Suspect {
+						return request(fmt.Sprint("s", n), "first", fmt.Sprint("subject", r.IntN(30)), fmt.Sprint("own", n))
+					}
+					n, crashes := 0, 0
+					for crash := range 5 * len(guilty) {
+						// Sound requests complete between two crashes.
+						for range r.IntN(4) {
+							n++
+							tables[r.IntN(3)].RecordComplete(sound(n))
+						}
+						time.Sleep(time.Duration(r.IntN(400)) * time.Millisecond)
+						bad := request(fmt.Sprint("b", crash), "first", guilty[crash%len(guilty)], fmt.Sprint("own", crash))
+						at := r.IntN(3)
+						if convicted(tables[at], bad) {
+							continue
+						}
+						crashes++
+						id := fmt.Sprint("u", crash)
+						tables[at].RecordCrash(id, false, bad)
+						for range r.IntN(8) {
+							n++
+							tables[r.IntN(3)].RecordCrash(id, false, sound(n))
+						}
+						publish()
+						settle()
+					}
+					check.True(crashes <= 5*len(guilty))
+					for _, table := range tables {
+						for _, g := range guilty {
+							check.True(convicted(table, request("new", "first", g, "x")))
+						}
+						check.True(!convicted(table, request("new", "first", "other", "x")))
+						time.Sleep(2 * settleTime)
+						table.RecordComplete(request("new", "first", "other", "x"))
+						settle()
+						check.True(!convicted(table, request("new", "first", "other", "x")))
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestRepeatedRequest guards against refusing the parts that a request shares with others
+// if the request as a whole crashes upstreams.
+func TestRepeatedRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		table := NewTable()
+		bad := request("bad", "first", "subject", "own")
+		for i := range 3 {
+			check.True(!convicted(table, bad))
+			table.RecordCrash(fmt.Sprint("u", i), false, bad)
+			settle()
+		}
+		check.True(convicted(table, bad))
+		check.True(!convicted(table, request("other", "first", "subject", "own2")))
+		check.Equal(table.Convicted(), 1)
+	})
+}
+
+// TestPartThatWasSound guards against a part that crashes upstreams from a certain moment
+// on and is protected by earlier completions for good.
+func TestPartThatWasSound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		table := NewTable()
+		for i := range 20 {
+			table.RecordComplete(request(fmt.Sprint("s", i), "first", "part", fmt.Sprint("own", i)))
+		}
+		for i := range 4 {
+			table.RecordCrash(fmt.Sprint("u", i), false, request(fmt.Sprint("b", i), fmt.Sprint("first", i), "part", fmt.Sprint("x", i)))
+			time.Sleep(300 * time.Millisecond)
+		}
+		check.True(!convicted(table, request("new", "first", "part", "y")))
+		time.Sleep(settleTime)
+		check.True(convicted(table, request("new", "first", "part", "y")))
+	})
+}
+
+// TestCompletionClears guards against a part that stays refused although a request with it
+// has completed, at any instance.
+func TestCompletionClears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		a, b := NewTable(), NewTable()
+		for i := range 3 {
+			a.RecordCrash(fmt.Sprint("u", i), false, request(fmt.Sprint("d", i), "f", "part"))
+		}
+		b.SetReport("a", a.Report())
+		settle()
+		check.True(convicted(a, request("x", "part")))
+		check.True(convicted(b, request("x", "part")))
+		<-a.Changed()
+		b.RecordComplete(request("running since before", "part"))
+		select {
+		case <-b.Changed():
+		default:
+			t.Fatal("the clearance is not published")
+		}
+		a.SetReport("b", b.Report())
+		settle()
+		check.True(!convicted(a, request("x", "part")))
+		check.True(!convicted(b, request("x", "part")))
+	})
+}
+
+// TestRetryAfterCrash guards against a request that carries a harmful part from one
+// upstream to the next.
+func TestRetryAfterCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		table := NewTable()
+		table.RecordCrash("u1", false, request("a", "first", "part"))
+		check.True(table.MayRetry(request("a", "first", "part")))
+		table.RecordCrash("u2", false, request("b", "first", "part"))
+		check.True(!table.MayRetry(request("b", "first", "part")))
+		check.True(table.MayRetry(request("c", "first", "other")))
+	})
+}
+
+// TestColdCrashes guards against a conviction after three crashes of upstreams that had
+// just started and may have crashed under their load.
+func TestColdCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		table := NewTable()
+		for i := range 6 {
+			check.True(!convicted(table, request("x", "f", "part")))
+			table.RecordCrash(fmt.Sprint("u", i), true, request(fmt.Sprint("d", i), "f", "part"))
+			settle()
+		}
+		check.True(convicted(table, request("x", "f", "part")))
+	})
+}
+
+// TestRestart guards against an instance that forgets with a restart, and against evidence
+// that is kept for ever.
+func TestRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		table := NewTable()
+		for i := range 3 {
+			table.RecordCrash(fmt.Sprint("u", i), false, request(fmt.Sprint("d", i), "f", "part"))
+		}
+		restarted := NewTable()
+		restarted.Restore(table.Report())
+		settle()
+		check.True(convicted(restarted, request("x", "f", "part")))
+		time.Sleep(Retention)
+		check.True(!convicted(restarted, request("x", "f", "part")))
+		check.True(!restarted.Active())
+		check.Equal(len(restarted.Report().Crashes), 0)
+	})
+}
+
+// TestBounds guards against memory and reports that grow with the number of crashes or of
+// requests, and against a conviction that ends because later crashes displace its evidence.
+func TestBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		table := NewTable()
+		for i := range 3 {
+			table.RecordCrash(fmt.Sprint("bad", i), false, request(fmt.Sprint("d", i), "f", "part"))
+		}
+		settle()
+		check.True(convicted(table, request("x", "f", "part")))
+		for i := range 3 * maxCrashes {
+			for j := range 8 {
+				table.RecordCrash(fmt.Sprint("u", i), false, request(fmt.Sprint(i, j), fmt.Sprint("p", i, j)))
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		for j := range 2 * maxSuspects {
+			table.RecordCrash("last", false, request(fmt.Sprint("l", j)))
+		}
+		report := table.Report()
+		check.Equal(len(report.Crashes), maxCrashes)
+		for _, c := range report.Crashes {
+			check.True(len(c.Suspects) <= maxSuspects)
+		}
+		check.True(convicted(table, request("x", "f", "part")))
+	})
+}
--- a/internal/topicwatch/name.go
+++ b/internal/topicwatch/name.go
@@ -11,4 +11,6 @@
 	// Spending holds the token quota checkpoints of entry instances, which an
 	// instance reads when it starts.
 	Spending Name = "spending"
+	// Crashes holds the reports of entry instances on upstreams that crashed.
+	Crashes Name = "crashes"
 )
--- a/internal/upstreamclient/response.go
+++ b/internal/upstreamclient/response.go
@@ -11,6 +11,9 @@
 	Header http.Header
 	// Body ends with io.EOF only if the response is complete.
 	Body io.ReadCloser
+	// Framed tells that the response states its length or comes in chunks. Otherwise it
+	// ends with its connection.
+	Framed bool
 
 	client    *Client
 	conn      *conn
