Read and log the rate limits that upstreams name

Change: the header is decoded from answers and from engines' reports, agents report it in their state, and entry instances and agents log each change. No decision depends on it yet. The header does not pass on to callers.

--- a/internal/agentapi/state.go
+++ b/internal/agentapi/state.go
@@ -42,6 +42,9 @@
 	Queued   int  `json:"queued"`
 	Running  int  `json:"running"`
 	Draining bool `json:"draining,omitempty"`
+	// RateLimit is how many requests a second the engine takes from all entry instances
+	// together; 0 is no limit.
+	RateLimit float64 `json:"rate_limit,omitempty"`
 }
 
 // StateRequest asks for a state newer than After, and reports the demand that
--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -182,7 +182,7 @@
 	if a.reachable && r.StartedAtMS == a.report.StartedAtMS && r.Sequence < a.report.Sequence && now.Sub(a.acceptedAt) < maxReportAge {
 		// The engine made this report before it accepted the last order, so only the
 		// request counts are current.
-		a.report.Queued, a.report.Running = r.Queued, r.Running
+		a.report.Queued, a.report.Running, a.report.RateLimit = r.Queued, r.Running, r.RateLimit
 		return
 	}
 	if !a.reachable || r.StartedAtMS != a.report.StartedAtMS {
@@ -207,6 +207,9 @@
 		}
 	}
 	statusChanged, holdingsChanged := !a.reachable || !similarStatus(a.report, r), !a.reachable || !sameHoldings(a.report, r)
+	if r.RateLimit != a.report.RateLimit {
+		a.Logger.Info("engine changed its rate limit", zap.Float64("per_second", r.RateLimit), zap.Float64("before", a.report.RateLimit), zap.Int("running", r.Running), zap.Int("queued", r.Queued))
+	}
 	a.reachable, a.report = true, r
 	if statusChanged || holdingsChanged {
 		a.publish()
@@ -222,7 +225,7 @@
 func similarStatus(a, b fleet.EngineReport) bool {
 	const minDelta = 2
 	similar := func(x, y int) bool { return x-y < minDelta && y-x < minDelta }
-	return a.Busy == b.Busy && a.Draining == b.Draining && similar(a.Queued, b.Queued) && similar(a.Running, b.Running)
+	return a.Busy == b.Busy && a.Draining == b.Draining && a.RateLimit == b.RateLimit && similar(a.Queued, b.Queued) && similar(a.Running, b.Running)
 }
 
 // sameHoldings reports whether a and b come from the same engine instance
--- a/internal/engineagent/handlers.go
+++ b/internal/engineagent/handlers.go
@@ -213,7 +213,7 @@
 		}
 	}
 	st.StoreSlowdown = a.storeLoad.slowdown
-	st.Queued, st.Running, st.Draining = a.report.Queued, a.report.Running, a.report.Draining
+	st.Queued, st.Running, st.Draining, st.RateLimit = a.report.Queued, a.report.Running, a.report.Draining, a.report.RateLimit
 	queue := a.requests.list(now, func(name string) bool { return !strings.Contains(name, "/") && !h.HasModel(name) && name != a.loading })
 	modelplacement.SortRequests(queue)
 	for _, req := range queue {
--- a/internal/fleet/engine_report.go
+++ b/internal/fleet/engine_report.go
@@ -15,4 +15,7 @@
 	Sequence        int64
 	Queued, Running int
 	Draining        bool
+	// RateLimit is how many requests a second the engine takes from all instances
+	// together, at least MinRateLimit; 0 means that it names no limit.
+	RateLimit float64
 }
--- a/internal/fleet/response_attributes.go
+++ b/internal/fleet/response_attributes.go
@@ -23,6 +23,9 @@
 	// running and queued requests, and how many it runs at once.
 	HasLoad                 bool
 	Running, Waiting, Slots int
+	// RateLimit is how many requests a second the upstream takes from all instances
+	// together, at least MinRateLimit; 0 means that it names no limit.
+	RateLimit float64
 	// KeepAlive is the idle timeout of the upstream's connections; 0 is unknown.
 	KeepAlive time.Duration
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -44,7 +44,10 @@
 	r.deliveries++
 	detector.headerReceived()
 	attrs := r.g.Dialect.Answer(resp.Header)
-	ticket.HeadersReceived(attrs)
+	if before := ticket.HeadersReceived(attrs); before != attrs.RateLimit {
+		r.g.Logger.Info("upstream changed its rate limit", r.requestIDField(), zap.String("upstream", id),
+			zap.Float64("per_second", attrs.RateLimit), zap.Float64("before", before))
+	}
 	if attrs.NotExecuted || resp.Status == http.StatusMisdirectedRequest {
 		return r.notExecuted(choice, ticket, resp, attrs)
 	}
--- a/internal/upstream/state.go
+++ b/internal/upstream/state.go
@@ -49,6 +49,10 @@
 	// headerRunning and headerQueued are from the headers of the last response.
 	headerRunning, headerQueued int
 	headerAt                    time.Time
+	// headerLimit is the rate limit that the upstream named in its last response, 0 if
+	// none, as of headerLimitAt.
+	headerLimit   float64
+	headerLimitAt time.Time
 }
 
 // usage is this instance's use of one model or adapter of an upstream.
@@ -95,6 +99,16 @@
 	return l
 }
 
+// rateLimit returns how many requests a second the upstream takes from all instances
+// together, or 0 for no limit. Its agent reads that from the engine itself; a response may
+// be newer.
+func (s *state) rateLimit(now time.Time) float64 {
+	if s.hasAgentState(now) && s.agentConfirmedAt.After(s.headerLimitAt) {
+		return s.agent.RateLimit
+	}
+	return s.headerLimit
+}
+
 func (s *state) cold(now time.Time) bool {
 	return now.Before(s.coldUntil) || now.Before(s.health.assumedColdUntil)
 }
--- a/internal/upstream/ticket.go
+++ b/internal/upstream/ticket.go
@@ -47,8 +47,8 @@
 }
 
 // HeadersReceived records the response headers. An engine sends them once it
-// has read the prompt.
-func (t *Ticket) HeadersReceived(a fleet.ResponseAttributes) {
+// has read the prompt. It returns the rate limit that applied until now.
+func (t *Ticket) HeadersReceived(a fleet.ResponseAttributes) (limitBefore float64) {
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	t.promptRead()
@@ -56,6 +56,11 @@
 	if a.HasLoad {
 		t.state.headerRunning, t.state.headerQueued, t.state.headerAt = a.Running, a.Waiting, time.Now()
 	}
+	limitBefore = t.state.rateLimit(time.Now())
+	if a.Instance == "" || a.Instance == t.state.upstream.ID {
+		t.state.headerLimit, t.state.headerLimitAt = a.RateLimit, time.Now()
+	}
+	return limitBefore
 }
 
 // DataReceived records that a part of the response body arrived.
