--- a/internal/engineagent/cold_permits_test.go
+++ b/internal/engineagent/cold_permits_test.go
@@ -96,18 +96,8 @@
 	if c == nil {
 		return false
 	}
-	if c.NeedsPermit {
-		resp, err := a.ServePermit(t.Context(), agentapi.PermitRequest{})
-		is.New(t).NoErr(err)
-		switch {
-		case cutOff:
-			p.PermitRefused("i-1", time.Second, true)
-			return false
-		case !resp.Granted:
-			p.PermitRefused("i-1", time.Duration(resp.WaitMS)*time.Millisecond, false)
-			return false
-		}
-		c.Permitted = true
+	if c.NeedsPermit && !takePermit(t, p, a, c, cutOff) {
+		return false
 	}
 	ticket, _ := p.Begin(c, q)
 	if ticket == nil {
@@ -116,3 +106,19 @@
 	ticket.End(upstream.Served)
 	return true
 }
+
+// takePermit asks the agent for a permit as gateway does and reports whether it got one.
+func takePermit(t *testing.T, p *upstream.Pool, a *Agent, c *upstream.Choice, cutOff bool) bool {
+	resp, err := a.ServePermit(t.Context(), agentapi.PermitRequest{})
+	is.New(t).NoErr(err)
+	switch {
+	case cutOff:
+		p.PermitRefused("i-1", time.Second, true)
+		return false
+	case !resp.Granted:
+		p.PermitRefused("i-1", time.Duration(resp.WaitMS)*time.Millisecond, false)
+		return false
+	}
+	c.Permitted = true
+	return true
+}
