Keep the rate that an upstream names as one budget of all instances

What callers saw: nothing yet; upstreams in need got up to twice the rate that they named. Cause: the limit was kept by nobody. Class: a budget that holds for the fleet and would be counted by each instance alone. Change: the agent of an engine, which already permits requests to cold engines in large fleets, permits requests to an engine that names a limit, in fleets of any size, and keeps a queue for it. Instances that do not reach the agent, and those before upstreams without one, have turns or equal parts. Requests beyond the limit go to other engines, to a new copy of the model, or are refused at once with the time at which there is room. Why it works: the agent counts for all instances; what others send without it stays below the half that the platform tolerates.

--- a/internal/agentclient/client.go
+++ b/internal/agentclient/client.go
@@ -64,7 +64,8 @@
 // permitTimeout is several round trips within a region, and below agentapi.PermitTTL.
 const permitTimeout = 100 * time.Millisecond
 
-// Permit asks an agent whether a request may be sent to its engine while it is cold.
+// Permit asks an agent whether a request may be sent to its engine, which is cold
+// or names a rate limit.
 func (c *Client) Permit(ctx context.Context, addr string, req agentapi.PermitRequest) (agentapi.PermitResponse, error) {
 	callCtx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -78,11 +78,12 @@
 	demand   demand
 	// permits counts the requests that may be on their way to the engine, and the orders,
 	// which a cold engine counts like requests.
-	permits    slidingwindow.Counter
-	startedAt  time.Time
-	storeShare storeShare
-	fence      int64
-	loading    string
+	permits     slidingwindow.Counter
+	ratePermits ratePermits
+	startedAt   time.Time
+	storeShare  storeShare
+	fence       int64
+	loading     string
 	// loadETA is the expected end of the current load.
 	loadETA      time.Time
 	storeLimiter storeLoadLimiter
--- a/internal/engineagent/cold_permits_test.go
+++ b/internal/engineagent/cold_permits_test.go
@@ -109,7 +109,7 @@
 
 // takePermit asks the agent for a permit as gateway does and reports whether it got one.
 func takePermit(t *testing.T, p *upstream.Pool, a *Agent, c *upstream.Choice, cutOff bool) bool {
-	resp, err := a.ServePermit(t.Context(), agentapi.PermitRequest{})
+	resp, err := a.ServePermit(t.Context(), agentapi.PermitRequest{Cold: c.Cold, RateLimit: c.RateLimit})
 	is.New(t).NoErr(err)
 	switch {
 	case cutOff:
--- a/internal/engineagent/rate_limit_test.go
+++ b/internal/engineagent/rate_limit_test.go
@@ -48,6 +48,7 @@
 						check := is.New(t)
 						v := coldFleet(entries)
 						v.Upstreams["i-1"].ColdLeftMS = 0
+						v.Upstreams["i-1"].Holdings.Adapters = map[string][]string{"a": nil}
 						engine := newFakeEngine("a")
 						engine.report.RateLimit = limit
 						newAgent := func(first bool) *Agent {
--- a/internal/gateway/fake_loader_test.go
+++ b/internal/gateway/fake_loader_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/jacinthbend/jacinthbend/internal/agentapi"
 )
@@ -17,9 +18,11 @@
 	block      chan struct{}
 	callerGone chan struct{}
 	// blocked tells that a load is or was blocked.
-	blocked   bool
-	requested []string
-	mu        sync.Mutex
+	blocked bool
+	// permitDelay is when the next permit for an engine is free.
+	permitDelay time.Duration
+	requested   []string
+	mu          sync.Mutex
 }
 
 func (l *fakeLoader) setRefuse(refuse bool) {
@@ -71,7 +74,19 @@
 	return agentapi.EnsureResponse{Loaded: !l.refuse, Reason: "refused"}, l.err
 }
 
-// Permit grants every request.
-func (l *fakeLoader) Permit(context.Context, string, agentapi.PermitRequest) (agentapi.PermitResponse, error) {
-	return agentapi.PermitResponse{Granted: true}, nil
+// Permit grants every request after permitDelay, if the request may wait that long.
+func (l *fakeLoader) Permit(_ context.Context, _ string, req agentapi.PermitRequest) (agentapi.PermitResponse, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	after := l.permitDelay.Milliseconds()
+	if after > req.MaxWaitMS {
+		return agentapi.PermitResponse{WaitMS: after}, nil
+	}
+	return agentapi.PermitResponse{Granted: true, AfterMS: after}, nil
+}
+
+func (l *fakeLoader) setPermitDelay(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.permitDelay = d
 }
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -21,7 +21,8 @@
 // Loader asks agents to load models and to admit requests to cold engines.
 type Loader interface {
 	Ensure(ctx context.Context, agentAddr string, req agentapi.EnsureRequest) (agentapi.EnsureResponse, error)
-	// Permit asks whether a request may be sent to a cold engine now.
+	// Permit asks whether a request may be sent to an engine now that is cold
+	// or names a rate limit.
 	Permit(ctx context.Context, agentAddr string, req agentapi.PermitRequest) (agentapi.PermitResponse, error)
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -62,10 +62,10 @@
 	resumeAfter, weightsVersion string
 
 	// firstSentAt is when the first attempt began, firstByteAt when the first events of a
-	// stream came and lastEventAt when the last ones did; loadWait is the time spent
-	// waiting for loads.
+	// stream came and lastEventAt when the last ones did; loadWait and rateWait are the times
+	// spent waiting for loads and for rate limits of engines.
 	firstSentAt, firstByteAt, lastEventAt time.Time
-	loadWait                              time.Duration
+	loadWait, rateWait                    time.Duration
 	// estimatedTTFT is the estimated time to the first token at the upstream of
 	// the last attempt.
 	estimatedTTFT time.Duration
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -45,19 +45,19 @@
 				r.refuse(errkind.New(errkind.UpstreamBusy, unavailable.Reason).WithRetryAfter(r.retryAfter(unavailable.RetryAfter)))
 				return
 			}
-			if r.waitForUpstream(waitCtx, unavailable) {
-				continue
+			if unavailable.Queue == nil || !r.queue(waitCtx, unavailable) {
+				if r.waitForUpstream(waitCtx, unavailable) {
+					continue
+				}
+				r.fail(unavailable.Reason, unavailable.RetryAfter)
+				return
 			}
-			r.fail(unavailable.Reason, unavailable.RetryAfter)
-			return
+			choice = unavailable.Queue
 		}
 		r.requestReplica(choice.Replica)
 		if choice.NeedsLoad {
 			switch r.loadModel(waitCtx, choice) {
 			case loaded:
-				if r.endIfDone(ctx) || r.refuseIfExiting() || r.refuseIfQuarantined() {
-					return
-				}
 			case notLoaded:
 				r.query.Tried[choice.Upstream.ID] = true
 				continue
@@ -65,9 +65,12 @@
 				return
 			}
 		}
-		if choice.NeedsPermit && !r.takePermit(waitCtx, choice) {
+		if choice.NeedsPermit && !choice.Permitted && !r.takePermit(waitCtx, choice, 0) {
 			continue
 		}
+		if r.endIfDone(ctx) || r.refuseIfExiting() || r.refuseIfQuarantined() {
+			return
+		}
 		ticket, unavailable := r.g.Pool.Begin(choice, &r.query)
 		if ticket == nil {
 			if unavailable.RetryAfter > 0 && !r.waitForUpstream(waitCtx, unavailable) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -280,7 +280,7 @@
 		fields = append(fields, zap.Duration("sent_after", r.firstSentAt.Sub(r.start)))
 	}
 	if !r.firstByteAt.IsZero() {
-		fields = append(fields, zap.Duration("first_byte_after", r.firstByteAt.Sub(r.start)), zap.Duration("expected", r.estimatedTTFT), zap.Duration("load_wait", r.loadWait))
+		fields = append(fields, zap.Duration("first_byte_after", r.firstByteAt.Sub(r.start)), zap.Duration("expected", r.estimatedTTFT), zap.Duration("load_wait", r.loadWait), zap.Duration("rate_wait", r.rateWait))
 	}
 	if r.kind == "" {
 		r.g.Logger.Info("request served", fields...)
--- a/internal/upstream/choice.go
+++ b/internal/upstream/choice.go
@@ -24,9 +24,13 @@
 	// UncachedTokens is the number of prompt tokens that are not in the prefix
 	// cache of the upstream.
 	UncachedTokens int
-	// NeedsPermit means that the upstream is cold and its agent decides whether a request
-	// may be sent. Permitted means that it may.
+	// NeedsPermit means that the upstream is cold or names a rate limit, and its agent
+	// decides whether a request may be sent. Permitted means that it may.
 	NeedsPermit, Permitted bool
+	// Cold and RateLimit tell what the permit is for; RateLimit is in requests a second, 0
+	// for none.
+	Cold      bool
+	RateLimit float64
 	// Replica is another engine on which to load the model in the background,
 	// or nil. Demand is set only in the Choice of a Replica: it is the expected
 	// decayed request count per copy once that copy is loaded.
@@ -46,6 +50,9 @@
 	PollAfter time.Duration
 	// LoadPending means that the request waits for a model to be loaded.
 	LoadPending bool
+	// Queue is an engine with the model whose rate limit has room after RetryAfter, or nil.
+	// Its agent can give the request a place.
+	Queue *Choice
 	// Overloaded means that the engines with the model cannot serve the request
 	// within its objective, so it should be refused rather than queued.
 	Overloaded bool
--- a/internal/upstream/cold_limit.go
+++ b/internal/upstream/cold_limit.go
@@ -49,18 +49,18 @@
 		return 0, false
 	case !permits:
 		return s.sends.Wait(now, int(limit)), false
-	case s.agentAddr == "" || !s.hasAgentState(now) || s.permitsFailed && now.Before(s.noPermitUntil):
-		return p.turnWait(s, limit, now), false
+	case !p.reachesAgent(s, now):
+		return p.coldTurnWait(s, limit, now), false
 	case now.Before(s.noPermitUntil):
 		return s.noPermitUntil.Sub(now), false
 	}
 	return 0, true
 }
 
-// turnWait returns the time until this instance's turn. The instances take turns in time
+// coldTurnWait returns the time until this instance's turn. The instances take turns in time
 // slots derived from the wall clock. Any second overlaps at most two slots, so each slot
 // gets half of the limit.
-func (p *Pool) turnWait(s *state, limit float64, now time.Time) time.Duration {
+func (p *Pool) coldTurnWait(s *state, limit float64, now time.Time) time.Duration {
 	const slotsPerSecond = 2
 	slots := int64(math.Ceil(slotsPerSecond / limit))
 	ahead := (int64(p.entryRank)%slots - now.UnixNano()/int64(coldWindowLength)%slots + slots) % slots
@@ -71,8 +71,8 @@
 	return time.Duration(ahead)*coldWindowLength - elapsed
 }
 
-// PermitRefused records that the agent of a cold upstream permits no request for the time
-// wait, or did not answer.
+// PermitRefused records that the agent of an upstream permits no request for the time wait,
+// or did not answer.
 func (p *Pool) PermitRefused(upstreamID string, wait time.Duration, failed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -18,8 +18,11 @@
 	delay          time.Duration
 	// failurePenalty is the part of delay that stands for failed attempts.
 	failurePenalty time.Duration
-	// needsPermit means that the agent must admit the request to the cold engine.
+	// needsPermit means that the agent must admit the request: to a cold engine if cold is
+	// set, and to one that names a rate limit if rateLimit is not 0.
 	needsPermit bool
+	cold        bool
+	rateLimit   float64
 	// rank is the rendezvous rank of the upstream for the model; it breaks ties.
 	rank uint64
 }
@@ -46,7 +49,7 @@
 // noCandidate tells why no upstream is usable; wait is when a cold one may be used, or 0.
 func noCandidate(wait time.Duration) Unavailable {
 	if wait > 0 {
-		return Unavailable{Reason: "all usable upstreams are cold and at their rate limit", RetryAfter: wait}
+		return Unavailable{Reason: "all usable upstreams are at their rate limits", RetryAfter: wait}
 	}
 	return Unavailable{Reason: "no usable upstream for the service"}
 }
@@ -58,13 +61,16 @@
 		if q.Tried[s.upstream.ID] || !p.usable(s, now) {
 			continue
 		}
-		w, needsPermit := p.coldWait(s, now)
+		w, needsPermit := p.sendWait(s, now)
 		if w > 0 {
 			wait = shorterWait(wait, w)
 			continue
 		}
 		c := p.candidate(s, q, hashes, now)
-		c.needsPermit = needsPermit
+		c.needsPermit, c.rateLimit = needsPermit, s.rateLimit(now)
+		if needsPermit {
+			_, c.cold = p.coldWait(s, now)
+		}
 		out = append(out, c)
 	}
 	return out, wait
@@ -126,15 +132,25 @@
 	}
 	entries := float64(max(1, p.entryCount))
 	slow := float64(best.delay) > replicaDelayShare*float64(q.Objective)
-	if !slow && demand.utilization(now)*entries/float64(copies) < replicaUtilization {
+	if !slow && demand.utilization(now)*entries/float64(copies) < replicaUtilization && !p.exceedsLimits(q.Service, q.Model, demand.requestsAt(now)*entries, now) {
+		return nil
+	}
+	return p.replica(q, copies, now)
+}
+
+// replica returns an engine on which to load another copy of the model, or nil if none can
+// load it soon or one was requested lately. An engine that names a rate limit is no help.
+func (p *Pool) replica(q *Query, copies int, now time.Time) *Choice {
+	demand := p.demandFor(q.Model)
+	if now.Sub(demand.replicaRequestedAt) < replicaInterval {
 		return nil
 	}
 	r, _ := p.pickLoad(q, now)
-	if r == nil || r.LoadTime > maxReplicaLoadTime {
+	if r == nil || r.RateLimit > 0 || r.LoadTime > maxReplicaLoadTime {
 		return nil
 	}
 	demand.replicaRequestedAt = now
-	r.Demand = demand.requestsAt(now) * entries / float64(copies+1)
+	r.Demand = demand.requestsAt(now) * float64(max(1, p.entryCount)) / float64(copies+1)
 	return r
 }
 
@@ -155,6 +171,13 @@
 		return p.pickLoaded(q, withModel, now)
 	}
 	choice, wait := p.pickLoad(q, now)
+	if _, limited := p.limitSum(p.index.loaded[copyKey{q.Service, q.Model}], now); limited && coldWait > 0 && (choice == nil || choice.FromStore || coldWait <= choice.LoadTime) {
+		// The rate limits of the engines with the model have room sooner than another engine.
+		unavailable := noCandidate(coldWait)
+		unavailable.Queue = p.shortestQueue(q, hashes, now)
+		unavailable.Replica = p.replica(q, len(p.index.loaded[copyKey{q.Service, q.Model}]), now)
+		return nil, unavailable
+	}
 	if choice == nil {
 		if wait = shorterWait(coldWait, wait); wait > 0 {
 			return nil, noCandidate(wait)
@@ -201,11 +224,12 @@
 	return nil, wait
 }
 
-// loadCandidates returns those of states that lack the model and have an agent.
+// loadCandidates returns those of states that lack the model and have an agent, without
+// those that name a rate limit if others remain.
 func (p *Pool) loadCandidates(q *Query, states map[*state]struct{}, now time.Time) ([]candidate, time.Duration) {
 	out, wait := p.candidates(q, states, nil, now)
 	out = slices.DeleteFunc(out, func(c candidate) bool { return c.hasModel || c.state.agentAddr == "" })
-	return out, wait
+	return withoutLimit(out), wait
 }
 
 // Estimates for loads queued at one engine.
@@ -294,5 +318,5 @@
 }
 
 func (c *candidate) choice() *Choice {
-	return &Choice{NeedsPermit: c.needsPermit, Upstream: c.state.upstream, AgentAddr: c.state.agentAddr, Delay: c.delay, UncachedTokens: c.uncachedTokens}
+	return &Choice{NeedsPermit: c.needsPermit, Cold: c.cold, RateLimit: c.rateLimit, Upstream: c.state.upstream, AgentAddr: c.state.agentAddr, Delay: c.delay, UncachedTokens: c.uncachedTokens}
 }
--- a/internal/upstream/rate_limit_test.go
+++ b/internal/upstream/rate_limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,7 @@
 					check := is.New(t)
 					v := testView(1, entries)
 					v.Upstreams["i-0"].Service = "plain"
+					maps.DeleteFunc(v.Members, func(_ string, m fleet.Member) bool { return m.Role == fleet.RoleAgent })
 					v.Config.Services["plain"] = fleet.Service{Name: "plain"}
 					pools := make([]*Pool, entries)
 					for i := range pools {
--- a/internal/upstream/state.go
+++ b/internal/upstream/state.go
@@ -24,7 +24,9 @@
 	health    health
 	// sends counts the requests of this instance to the upstream, also while it is warm, so
 	// that the count is already right when it turns cold.
-	sends    slidingwindow.Counter
+	sends slidingwindow.Counter
+	// lastSent is when this instance last sent a request to the upstream.
+	lastSent time.Time
 	prefixes prefixCache
 
 	inFlight      int
@@ -35,7 +37,7 @@
 	// unresponsiveSince is when a call to the agent first timed out after that.
 	lastContact, unresponsiveSince time.Time
 
-	// noPermitUntil is until when the agent grants no permits for a cold engine, and
+	// noPermitUntil is until when the agent grants no permits for the engine, and
 	// permitsFailed whether it did not answer.
 	noPermitUntil time.Time
 	permitsFailed bool
--- a/internal/upstream/store_loads.go
+++ b/internal/upstream/store_loads.go
@@ -89,7 +89,7 @@
 		if !s.hasAgentState(now) {
 			unreported++
 		}
-		engines = append(engines, candidate{state: s})
+		engines = append(engines, candidate{state: s, rateLimit: s.rateLimit(now)})
 	}
 	return engines, unreported <= len(engines)/enginesPerUnreported
 }
@@ -106,7 +106,7 @@
 		switch {
 		case available[model]:
 			p.lastAvailable[key] = now
-			if demand := p.storeReplicaDemand(model, engines, now); demand > 0 {
+			if demand := p.storeReplicaDemand(service, model, engines, now); demand > 0 {
 				wanted = append(wanted, StoreLoad{Model: model, Demand: demand})
 			}
 		case now.Sub(p.lastAvailable[key]) > noCopyGrace:
@@ -129,7 +129,7 @@
 				withoutModel = append(withoutModel, e)
 			}
 		}
-		c := p.fastestLoad(&Query{Service: service, Model: w.Model}, withoutModel, now)
+		c := p.fastestLoad(&Query{Service: service, Model: w.Model}, withoutLimit(withoutModel), now)
 		if c == nil {
 			continue
 		}
@@ -147,7 +147,7 @@
 // storeReplicaDemand returns the expected demand per copy if another copy of a
 // model is loaded from the weight store. It returns 0 if the present copies
 // suffice or another engine can load the model without the store.
-func (p *Pool) storeReplicaDemand(model string, engines []candidate, now time.Time) float64 {
+func (p *Pool) storeReplicaDemand(service, model string, engines []candidate, now time.Time) float64 {
 	demand := p.demandSource().Demand(model, now)
 	if demand.Requests <= 0 {
 		return 0
@@ -162,7 +162,7 @@
 			return 0
 		}
 	}
-	if utilization(demand.PrefillMS)/float64(max(1, copies)) < storeReplicaUtilization {
+	if utilization(demand.PrefillMS)/float64(max(1, copies)) < storeReplicaUtilization && !p.exceedsLimits(service, model, demand.Requests, now) {
 		return 0
 	}
 	return demand.Requests / float64(copies+1)
--- a/internal/upstream/ticket.go
+++ b/internal/upstream/ticket.go
@@ -17,8 +17,7 @@
 }
 
 // Begin starts an attempt; the caller must call End on the ticket. It returns
-// no ticket if the upstream is no longer usable, or is cold and at its rate
-// limit. Pick has checked this already, but many requests may have waited since
+// no ticket if the upstream is no longer usable, or is at its rate limit. Pick has checked this already, but many requests may have waited since
 // then for the same load, and they all continue at once.
 func (p *Pool) Begin(c *Choice, q *Query) (*Ticket, Unavailable) {
 	now := time.Now()
@@ -28,11 +27,12 @@
 	if !ok || !p.usable(s, now) {
 		return nil, Unavailable{Reason: "the upstream is no longer usable"}
 	}
-	if wait, needsPermit := p.coldWait(s, now); !c.Permitted && (wait > 0 || needsPermit) {
+	if wait, needsPermit := p.sendWait(s, now); !c.Permitted && (wait > 0 || needsPermit) {
 		// If it has turned cold since Pick, the next Pick asks for a permit.
-		return nil, Unavailable{Reason: "the upstream is cold and at its rate limit", RetryAfter: wait}
+		return nil, Unavailable{Reason: "the upstream is at its rate limit", RetryAfter: wait}
 	}
 	s.sends.Add(now)
+	s.lastSent = now
 	s.inFlight++
 	t := &Ticket{pool: p, state: s, name: q.Name(), pendingTokens: c.UncachedTokens}
 	s.pendingTokens += t.pendingTokens
