Share the connections that an upstream accepts among all entry instances

Cause: each instance kept up to 32 idle connections to an upstream. With 28 instances that is 896 where an upstream of the grown sites accepts 450 to 490, and with 103 instances 3,296 of 940; beyond that it resets connections. The limit was in the configuration and read by nothing.

--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -100,6 +100,7 @@
 		return a.RequestID, a.KeepAlive
 	})
 	e.pool = upstream.NewPool(s.Instance, s.DataCentre, upstream.Bounds{ColdOver: s.Bounds.ColdOver, ColdSlack: s.Bounds.ColdSlack})
+	e.exchange.SetIdleLimit(e.pool.IdleLimit)
 	e.quota = tokenquota.NewLimiter(s.Instance, tokenquota.Bounds{Window: s.QuotaWindow(), Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack}, e.entryClient)
 	crashes := quarantine.NewTable()
 	e.crashReports = newCrashReports(s.Instance, crashes, e.store, e.logger)
--- a/internal/upstreamclient/client.go
+++ b/internal/upstreamclient/client.go
@@ -28,7 +28,8 @@
 	// freshMaxIdle is how long after its last response a connection may be used for
 	// requests with FreshConn, those that must not be sent twice.
 	freshMaxIdle = time.Second
-	// maxIdlePerUpstream bounds the idle connections to one upstream.
+	// maxIdlePerUpstream bounds the idle connections to one upstream, if it has no lower
+	// limit.
 	maxIdlePerUpstream = 32
 	// maxStrayResponses is how many responses to other requests are skipped before
 	// the exchange fails.
@@ -50,6 +51,9 @@
 	// upstream's idle timeout.
 	parseHeader func(http.Header) (id string, idleTimeout time.Duration)
 
+	// idleLimit returns how many idle connections an upstream bears from this instance.
+	idleLimit func(addr string) int
+
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
@@ -63,10 +67,15 @@
 			Timeout: dialTimeout, Control: setUnackedTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 		},
-		idle: make(map[string][]*conn),
+		idleLimit: func(string) int { return maxIdlePerUpstream },
+		idle:      make(map[string][]*conn),
 	}
 }
 
+// SetIdleLimit sets how many idle connections an upstream bears from this instance. It must
+// be called before the first request.
+func (c *Client) SetIdleLimit(limit func(addr string) int) { c.idleLimit = limit }
+
 // Do sends r to addr and returns once it has read the response header. When ctx
 // ends, the exchange is aborted, also while the caller reads the body. A non-nil
 // error is a *Failure.
@@ -191,9 +200,10 @@
 
 func (c *Client) putIdle(addr string, cn *conn) {
 	cn.idleSince = time.Now()
+	limit := min(maxIdlePerUpstream, c.idleLimit(addr))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[addr]) >= maxIdlePerUpstream {
+	if len(c.idle[addr]) >= limit {
 		_ = cn.Close()
 		return
 	}
--- a/internal/upstreamclient/reuse_test.go
+++ b/internal/upstreamclient/reuse_test.go
@@ -115,3 +115,28 @@
 	c.mu.Unlock()
 	check.Equal(c.takeIdle(u.addr, testRequest("other")), (*conn)(nil))
 }
+
+// TestIdleConnectionsBeyondTheUpstreamsLimit guards against more idle connections to an
+// upstream than it bears.
+func TestIdleConnectionsBeyondTheUpstreamsLimit(t *testing.T) {
+	check := is.New(t)
+	const limit, requests = 3, 12
+	u := startUpstream(t, func(w io.Writer, _, _ int) bool {
+		_, err := io.WriteString(w, responseTo("r", "r"))
+		return err == nil
+	})
+	c := newTestClient()
+	c.SetIdleLimit(func(string) int { return limit })
+	var open []*Response
+	for range requests {
+		resp, err := c.Do(t.Context(), u.addr, testRequest("r"))
+		check.NoErr(err)
+		open = append(open, resp)
+	}
+	for _, resp := range open {
+		_, err := io.ReadAll(resp.Body)
+		check.NoErr(err)
+		resp.Close(true)
+	}
+	check.Equal(len(c.idle[u.addr]), limit)
+}
