Recognise answers without a length that a crash breaks off

What callers saw: a 200 that looked complete: a stream with its first events or none, or half of a body, if the upstream crashed and its answer had neither a length nor chunks. Cause: such an answer ends with its connection, and the end of the connection of a process that ended looks like any other. Change: when such an answer ends, it counts as broken off if its upstream refuses connections, and a stream also if no event came. A stream is resumed or cut, a body is retried or answered with 502.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -21,6 +21,10 @@
 // it is sent to the caller.
 const maxBufferedBytes = 8 << 20
 
+// errBrokenOff is the error of a response that ends with its connection, because its
+// upstream has crashed or before the first event of a stream.
+var errBrokenOff = errors.Wrap(io.ErrUnexpectedEOF, "the response has no length and may have been broken off")
+
 // attempt sends the request to one upstream and relays its response.
 func (r *request) attempt(ctx context.Context, choice *upstream.Choice, ticket *upstream.Ticket) attemptResult {
 	id := choice.Upstream.ID
@@ -124,6 +128,9 @@
 	if errors.Is(err, errBuffersFull) {
 		return r.buffersFull(choice, ticket)
 	}
+	if err == nil && !resp.Framed && r.findCrash(ctx, choice.Upstream, io.EOF) != nil {
+		err = errBrokenOff
+	}
 	if err == nil && (a.Encoded || resp.Status/100 == 2 && !a.Stamped) {
 		err = errors.New("the response lacks the upstream's stamp or has a content encoding")
 	}
@@ -143,7 +150,7 @@
 		ticket.End(upstream.Served)
 		r.sendBuffered(buffered)
 		if resp.Status/100 == 2 {
-			r.recordComplete(resp)
+			r.recordComplete(choice, resp)
 		}
 		return finished
 	}
@@ -238,11 +245,14 @@
 		if err == nil {
 			continue
 		}
+		if errors.Is(err, io.EOF) && !resp.Framed && (r.events.Events == 0 || r.findCrash(ctx, choice.Upstream, err) != nil) {
+			err = errBrokenOff
+		}
 		if errors.Is(err, io.EOF) && !r.events.Partial() {
 			resp.Close(true)
 			ticket.End(upstream.Served)
 			r.startStream(resp.Status, header)
-			r.recordComplete(resp)
+			r.recordComplete(choice, resp)
 			return finished
 		}
 		resp.Close(false)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -8,6 +8,7 @@
 
 	"github.com/jacinthbend/jacinthbend/internal/errkind"
 	"github.com/jacinthbend/jacinthbend/internal/quarantine"
+	"github.com/jacinthbend/jacinthbend/internal/upstream"
 	"github.com/jacinthbend/jacinthbend/internal/upstreamclient"
 )
 
@@ -67,9 +68,13 @@
 }
 
 // recordComplete clears the request's content of earlier crashes. A response that ends
-// with its connection does not count: it ends in the same way if the upstream crashes.
-func (r *request) recordComplete(resp *upstreamclient.Response) {
-	if resp.Framed && (len(r.attrs.Prompt) > 0 || r.g.Quarantine.Active()) {
+// with its connection, of an upstream that is leaving, does not count: it would end in the
+// same way if the upstream crashed.
+func (r *request) recordComplete(choice *upstream.Choice, resp *upstreamclient.Response) {
+	if !resp.Framed && r.g.Pool.Leaving(choice.Upstream.ID) {
+		return
+	}
+	if len(r.attrs.Prompt) > 0 || r.g.Quarantine.Active() {
 		r.g.Quarantine.RecordComplete(r.suspects())
 	}
 }
