Finish the check for a crash although the caller that began it leaves

Cause: requests that fail together share one check; if the caller whose request began it left meanwhile, the check ended and the crash was evidence for none of them.

--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -87,7 +87,8 @@
 	}
 	return r.g.crashChecks.run(ctx, u.ID, func() *crash {
 		cold := r.g.Pool.Cold(u.ID)
-		if !r.g.UpstreamClient.Refuses(ctx, u.Addr) {
+		// The result serves other requests, so the check goes on if this caller leaves.
+		if !r.g.UpstreamClient.Refuses(context.WithoutCancel(ctx), u.Addr) {
 			return nil
 		}
 		return &crash{id: u.ID + "/" + strconv.FormatInt(u.StartedAtMS, 10), cold: cold}
