--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -50,15 +50,34 @@
 	return false
 }
 
+// usable returns the crashes of a report that may be used: records come from other
+// processes, of other versions and with other clocks.
+func (r Report) usable(now time.Time) []Crash {
+	var out []Crash
+	for _, c := range r.Crashes[max(0, len(r.Crashes)-maxCrashes):] {
+		if c.ID == "" || len(c.ID) > maxCrashIDBytes || len(c.Suspects) > maxSuspects || c.at().After(now.Add(Retention)) || now.Sub(c.at()) >= Retention {
+			continue
+		}
+		valid := c.clone()
+		maps.DeleteFunc(valid.Suspects, func(s Suspect, position int) bool { return !s.valid() || position < 0 || position > maxParts })
+		maps.DeleteFunc(valid.Cleared, func(s Suspect, cleared bool) bool { return !s.valid() || !cleared })
+		out = append(out, *valid)
+	}
+	return out
+}
+
+// maxCrashIDBytes bounds the id of a crash, an upstream's id and its start.
+const maxCrashIDBytes = 256
+
 // SetReport replaces the report of another instance.
 func (t *Table) SetReport(instance string, r Report) {
 	now := time.Now()
+	r.Crashes = r.usable(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(r.Crashes) == 0 {
 		delete(t.reports, instance)
 	} else {
-		r.Crashes = r.Crashes[max(0, len(r.Crashes)-maxCrashes):]
 		t.reports[instance] = r
 	}
 	t.merge(now)
@@ -67,6 +86,7 @@
 // Restore adds what an earlier start of this instance reported.
 func (t *Table) Restore(r Report) {
 	now := time.Now()
+	r.Crashes = r.usable(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i := range r.Crashes {
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -67,5 +67,10 @@
 	return Suspect(partPrefix + id)
 }
 
+// valid reports whether the suspect has a known kind and a bounded length.
+func (s Suspect) valid() bool {
+	return (s.isPart() || strings.HasPrefix(string(s), requestPrefix)) && len(s) <= len(requestPrefix)+maxIDBytes
+}
+
 // isPart reports whether the suspect is a part of prompts.
 func (s Suspect) isPart() bool { return strings.HasPrefix(string(s), partPrefix) }
