Close connections of callers that do not finish sending a request

What callers saw: nothing; a caller that sends a byte now and then held a connection, a goroutine and a descriptor for as long as it liked, in the header or in the body. Cause: the read timeout of the server begins anew with each byte. Change: the time from the first byte of a request to its last is limited to 30 s at the callers' listener; idle times between requests and responses are not affected.

--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -134,7 +134,7 @@
 
 func (e *entry) listen() error {
 	s := e.settings
-	callers, err := listen("callers", s.CallerAddr, peer.ServerOptions{MaxBodyBytes: callerMaxBody, OmitDefaultHeaders: true})
+	callers, err := listen("callers", s.CallerAddr, peer.ServerOptions{MaxBodyBytes: callerMaxBody, ReadLimit: callerReadLimit, OmitDefaultHeaders: true})
 	if err != nil {
 		return err
 	}
--- a/internal/managed/listeners.go
+++ b/internal/managed/listeners.go
@@ -17,6 +17,9 @@
 const (
 	callerMaxBody = 16 << 20
 	peerMaxBody   = 4 << 20
+	// callerReadLimit is the longest time in which a caller sends a request, whatever its
+	// size: callerMaxBody takes as long at 5 Mbit/s.
+	callerReadLimit = 30 * time.Second
 	// writeTimeout ends a response to a peer that stopped reading.
 	writeTimeout = 20 * time.Second
 )
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -12,6 +12,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/middlewares/server/recovery"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network/netpoll"
 	"go.uber.org/zap"
 
@@ -39,6 +40,9 @@
 	// WriteTimeout is the deadline of writing a response to a peer that has
 	// stopped reading.
 	WriteTimeout time.Duration
+	// ReadLimit is the longest time from the first byte of a request to its last; 0 is no
+	// limit.
+	ReadLimit time.Duration
 	// OmitDefaultHeaders omits the Date and Content-Type headers that hertz
 	// adds by default, so that proxied responses pass unchanged.
 	OmitDefaultHeaders bool
@@ -47,7 +51,7 @@
 // NewServer returns a hertz server on ln. The contexts of its handlers are
 // canceled when the client disconnects.
 func NewServer(ln net.Listener, o ServerOptions) *server.Hertz {
-	h := server.New(
+	options := []config.Option{
 		server.WithListener(ln),
 		server.WithTransport(netpoll.NewTransporter),
 		server.WithSenseClientDisconnection(true),
@@ -65,7 +69,14 @@
 		server.WithDisablePreParseMultipartForm(true),
 		server.WithDisableDefaultContentType(o.OmitDefaultHeaders),
 		server.WithDisableDefaultDate(o.OmitDefaultHeaders),
-	)
+	}
+	if o.ReadLimit > 0 {
+		options = append(options, server.WithTracer(readLimit{o.ReadLimit}))
+	}
+	h := server.New(options...)
+	if o.ReadLimit > 0 {
+		h.Use(requestRead)
+	}
 	h.Use(recovery.Recovery(recovery.WithRecoveryHandler(answerPanic)))
 	return h
 }
