Exchange crash reports with fewer calls to the store

Cause: all instances may have a report on one crash, and each report ended the waiting reads of all others at once; each instance also read every second for 20 s after any crash. In a fleet of 103 that would be over ten thousand calls for one crash. Change: reads and reports are at least 150 and 60 ms apart, in proportion more from 16 instances on, at most six times; the additional reads are made only while one more crash would convict something, or something was convicted lately, and the waiting read has not answered meanwhile; that one waits 25 s. The test cluster's count of requests was read outside its lock, which the race detector found; fixed.

--- a/internal/managed/crash_cluster_test.go
+++ b/internal/managed/crash_cluster_test.go
@@ -114,11 +114,12 @@
 func (c *crashCluster) send(entry int, part string) platformtest.Response {
 	c.mu.Lock()
 	c.sent++
-	id := fmt.Sprintf("r%d", c.sent)
+	n := c.sent
 	c.mu.Unlock()
+	id := fmt.Sprintf("r%d", n)
 	return platformtest.Send(context.Background(), &http.Transport{DisableKeepAlives: true}, c.entries[entry].CallerAddr, platformtest.Request{
 		ID: id, Method: http.MethodPost, Host: "h.example", Path: "/s/x", Key: "key", Model: "m1", Body: "prompt " + id,
-		Prompt: fmt.Sprintf("5a5a:10,%s:5,%x:3", part, c.sent), TokensIn: 5, TokensOut: 5, Deadline: 2 * time.Second,
+		Prompt: fmt.Sprintf("5a5a:10,%s:5,%x:3", part, n), TokensIn: 5, TokensOut: 5, Deadline: 2 * time.Second,
 	})
 }
 
--- a/internal/managed/crash_reports.go
+++ b/internal/managed/crash_reports.go
@@ -16,15 +16,23 @@
 
 // Timing of the exchange of crash reports through the platform's store.
 const (
-	// crashReportInterval is the minimum time between two reports of one instance. The
-	// requests at an upstream that crashes fail within milliseconds, so that one report
-	// covers them.
-	crashReportInterval = 100 * time.Millisecond
-	// crashReadWait is how long a read waits for reports of others. Crashes are rare, so
-	// that a long wait saves calls.
-	crashReadWait = 12 * time.Second
-	// crashCatchUpInterval is how often reports are read in addition while crashes are
-	// known. A connection that has gone silent blocks a waiting read for crashReadWait.
+	// crashReportDelay is how long after a crash an instance reports it. The requests at
+	// an upstream that crashes fail within milliseconds, so that one report covers them.
+	crashReportDelay = 60 * time.Millisecond
+	// crashReadWait is how long a read waits for reports of others, below the store's
+	// limit of 30 s. Crashes are rare, so that a long wait saves calls.
+	crashReadWait = 25 * time.Second
+	// crashReadInterval is the minimum time between the starts of two reads. All instances
+	// may have a report on one crash, and each report ends the waiting reads of all others.
+	crashReadInterval = 150 * time.Millisecond
+	// instancesAtFullRate is the number of entry instances up to which these two apply.
+	// With more, they grow in proportion, at most by the factor maxCrashSlowdown: a
+	// conviction must spread within the platform's shortest time of contact, 3 s.
+	instancesAtFullRate = 16
+	maxCrashSlowdown    = 6.0
+	// crashCatchUpInterval is how often reports are read in addition while something is
+	// about to be convicted or was lately. A connection that has gone silent blocks a
+	// waiting read for crashReadWait.
 	crashCatchUpInterval = time.Second
 	crashReadRetry       = 400 * time.Millisecond
 	// crashReadyWait bounds how long a starting instance waits for the reports of others
@@ -39,12 +47,16 @@
 	table    *quarantine.Table
 	store    crashStore
 	logger   *zap.Logger
+	// entries returns the number of entry instances.
+	entries func() int
 	// listed is closed once the reports have been listed.
 	listed chan struct{}
 
 	mu sync.Mutex
-	// next is the offset of the first record that has not been read.
-	next int64
+	// next is the offset of the first record that has not been read, and readAt when the
+	// store last answered a read.
+	next   int64
+	readAt time.Time
 }
 
 // crashStore is the part of the platform's store that crashReports uses.
@@ -53,8 +65,14 @@
 	Put(ctx context.Context, t topicwatch.Name, key string, value []byte) (int64, error)
 }
 
-func newCrashReports(instance string, table *quarantine.Table, store crashStore, logger *zap.Logger) *crashReports {
-	return &crashReports{instance: instance, table: table, store: store, logger: logger, listed: make(chan struct{})}
+func newCrashReports(instance string, table *quarantine.Table, store crashStore, entries func() int, logger *zap.Logger) *crashReports {
+	return &crashReports{instance: instance, table: table, store: store, entries: entries, logger: logger, listed: make(chan struct{})}
+}
+
+// scaled returns d times the slowdown for the number of instances.
+func (c *crashReports) scaled(d time.Duration) time.Duration {
+	factor := float64(c.entries()) / instancesAtFullRate
+	return time.Duration(min(maxCrashSlowdown, max(1, factor)) * float64(d))
 }
 
 // waitListed waits until the reports are known, for at most crashReadyWait.
@@ -74,6 +92,7 @@
 	failing, listed := false, false
 	for ctx.Err() == nil {
 		var err error
+		start := time.Now()
 		if !listed {
 			err = c.list(ctx)
 		} else {
@@ -90,20 +109,28 @@
 			sleep(ctx, crashReadRetry)
 		}
 		failing = err != nil
+		sleep(ctx, max(0, c.scaled(crashReadInterval)-time.Since(start)))
 	}
 }
 
-// catchUp reads the reports at short intervals while crashes are known.
+// catchUp reads the reports at short intervals while it matters.
 func (c *crashReports) catchUp(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, crashCatchUpInterval)
-		if c.table.Recent() {
+		if c.table.Alarmed() {
 			c.readNow(ctx)
 		}
 	}
 }
 
+// readNow reads the reports, unless the store has just answered a read.
 func (c *crashReports) readNow(ctx context.Context) {
+	c.mu.Lock()
+	current := time.Since(c.readAt) < crashCatchUpInterval
+	c.mu.Unlock()
+	if current {
+		return
+	}
 	if err := c.read(ctx, 0); err != nil && ctx.Err() == nil {
 		c.logger.Debug("crash reports cannot be read", telemetry.Err(err))
 	}
@@ -156,7 +183,7 @@
 		}
 		c.table.SetReport(it.Key, r)
 	}
-	c.next = max(c.next, page.Next)
+	c.next, c.readAt = max(c.next, page.Next), time.Now()
 	if n := c.table.Convicted(); n > 0 && len(page.Items) > 0 {
 		c.logger.Info("crash reports read", zap.Int("reports", len(page.Items)), zap.Int("convicted", n))
 	}
@@ -177,6 +204,7 @@
 			return
 		case <-c.table.Changed():
 		}
+		sleep(ctx, c.scaled(crashReportDelay))
 		for ctx.Err() == nil {
 			value, err := json.Marshal(c.table.Report())
 			if err == nil {
@@ -190,6 +218,5 @@
 			sleep(ctx, crashReadRetry)
 		}
 		c.readNow(ctx)
-		sleep(ctx, crashReportInterval)
 	}
 }
--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -103,7 +103,7 @@
 	e.exchange.SetIdleLimit(e.pool.IdleLimit)
 	e.quota = tokenquota.NewLimiter(s.Instance, tokenquota.Bounds{Window: s.QuotaWindow(), Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack}, e.entryClient)
 	crashes := quarantine.NewTable()
-	e.crashReports = newCrashReports(s.Instance, crashes, e.store, e.logger)
+	e.crashReports = newCrashReports(s.Instance, crashes, e.store, e.entryCount, e.logger)
 	e.gateway = gateway.New(gateway.Options{
 		Quarantine: crashes, Dialect: dialect, Pool: e.pool, UpstreamClient: e.exchange, Quota: e.quota,
 		RetryBudget: retrybudget.New(retrybudget.Bounds{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.RetryWindow()}),
@@ -122,6 +122,14 @@
 	return nil
 }
 
+// entryCount returns the number of entry instances, 1 as long as it is unknown.
+func (e *entry) entryCount() int {
+	if v := e.follower.View(); v != nil {
+		return v.EntryCount()
+	}
+	return 1
+}
+
 // engineRank returns how many engines share the weight store with an upstream,
 // and the rank of the upstream's engine among them.
 func (e *entry) engineRank(upstreamID string) (count, rank int) {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -45,7 +45,7 @@
 	// judgeInterval is how old the judgement may be that Check uses. All requests at an
 	// upstream that crashes add evidence at the same time.
 	judgeInterval = 20 * time.Millisecond
-	// recentTime is how long after a crash the upstreams that return may crash again.
+	// recentTime is how long after a crash others may report more of the same cause.
 	recentTime = 20 * time.Second
 	// expiryInterval is how often old crashes are dropped at least.
 	expiryInterval = time.Minute
@@ -66,17 +66,25 @@
 // Active reports whether any crash is known.
 func (t *Table) Active() bool { return t.active.Load() }
 
-// Recent reports whether an upstream crashed lately, so that others may have more to report.
-func (t *Table) Recent() bool {
+// Alarmed reports whether one more crash would convict something, or something was
+// convicted, for a crash within recentTime.
+func (t *Table) Alarmed() bool {
 	if !t.Active() {
 		return false
 	}
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.judge(now)
 	for _, c := range t.crashes {
-		if now.Sub(c.at()) < recentTime {
-			return true
+		if now.Sub(c.at()) >= recentTime {
+			continue
+		}
+		for s := range c.Suspects {
+			_, convicted := t.judgement.convicted[s]
+			if counts(c, s) && (convicted || t.judgement.weights[s] >= convictWeight-warmWeight) {
+				return true
+			}
 		}
 	}
 	return false
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -232,3 +232,23 @@
 		check.True(convicted(table, request("x", "f", "part")))
 	})
 }
+
+// TestAlarm guards against instances that read the reports of others all the time after an
+// ordinary crash, and against ones that do not when a conviction is near.
+func TestAlarm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		table := NewTable()
+		check.True(!table.Alarmed())
+		table.RecordCrash("u1", false, request("a", "first", "part"))
+		check.True(!table.Alarmed())
+		table.RecordCrash("u2", false, request("b", "first", "part"))
+		check.True(table.Alarmed())
+		time.Sleep(recentTime)
+		check.True(!table.Alarmed())
+		table.RecordCrash("u3", false, request("c", "first", "part"))
+		check.True(table.Alarmed())
+		table.RecordComplete(request("d", "first", "part"))
+		check.True(!table.Alarmed())
+	})
+}
