--- a/internal/managed/prompt_crash_test.go
+++ b/internal/managed/prompt_crash_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/jacinthbend/jacinthbend/platform/platformtest"
 )
 
 // contactTime is the platform's shortest time between a change and its effect at all
@@ -64,6 +66,8 @@
 		c.stops[i]()
 	}
 	c.wg.Wait()
+	// The reports arrive well after everything else that an instance needs.
+	c.store.Delay(platformtest.CrashTopic, 300*time.Millisecond)
 	for i := range c.entries {
 		c.entries[i].FirstStart = false
 		c.startEntry(i)
