Play a part of prompts that crashes engines in the soak

Cause: the soak played no request that crashes engines, and the proxies before its upstreams accepted connections while the upstream was down, so that no process ever saw a crash as such. A proxy refuses connections while its upstream is down. TestChecker covers the rule.

--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -53,7 +53,7 @@
 		fmt.Printf("seed %d: %v (logs in %s)\n", o.Seed, err, o.Dir)
 		return false
 	}
-	fmt.Printf("seed %d: planned %v, %d faults, served %d of %d, after recovery %d of %d\n", r.Seed, r.PlannedOnly, len(r.Faults), r.Served, r.Requests, r.ServedAfterRecovery, r.RequestsAfterRecovery)
+	fmt.Printf("seed %d: planned %v, %d faults, engines crashed by a harmful part %d, served %d of %d, after recovery %d of %d\n", r.Seed, r.PlannedOnly, len(r.Faults), r.Harmed, r.Served, r.Requests, r.ServedAfterRecovery, r.RequestsAfterRecovery)
 	if len(r.Violations) == 0 {
 		_ = os.RemoveAll(o.Dir)
 		return true
--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -76,6 +76,7 @@
 	}
 	if k.stream {
 		s.TokensIn, s.TokensOut = 10+r.IntN(30), streamEvents
+		s.Prompt = promptOf(k.name, id)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
 	defer cancel()
--- a/bench/soak/checker.go
+++ b/bench/soak/checker.go
@@ -38,6 +38,8 @@
 	answeredAt time.Time
 	answer     platformtest.Response
 	runs       []platformtest.Run
+	// harmful is true if the request crashes the engines that run it.
+	harmful bool
 	// canceled is true if the caller closed the request before the answer.
 	canceled bool
 }
@@ -51,6 +53,8 @@
 	// order lists the request ids in the order of sending.
 	order      []string
 	violations []string
+	// harmed are the times at which engines crashed under harmful requests.
+	harmed []time.Time
 	// faultSpans holds, per entry instance, the spans in which it or the link of
 	// its callers was faulty.
 	faultSpans map[int][]span
@@ -232,7 +236,7 @@
 	defer c.mu.Unlock()
 	for _, id := range c.order {
 		s := c.requests[id]
-		if s.sentAt.Before(t) || s.canceled || s.team == smallTeam && s.answer.Status == http.StatusTooManyRequests {
+		if s.sentAt.Before(t) || s.canceled || s.harmful || s.team == smallTeam && s.answer.Status == http.StatusTooManyRequests {
 			continue
 		}
 		sent++
@@ -251,7 +255,7 @@
 	var out []string
 	for _, id := range c.order {
 		s := c.requests[id]
-		if s.canceled || s.sentAt.Before(from) || s.sentAt.After(to) {
+		if s.canceled || s.harmful || s.sentAt.Before(from) || s.sentAt.After(to) {
 			continue
 		}
 		refused := s.answer.NotRun && s.answer.Header.Get("Retry-After") != ""
--- a/bench/soak/checker_test.go
+++ b/bench/soak/checker_test.go
@@ -27,6 +27,21 @@
 	return platformtest.Response{Status: status, Body: body, Header: h, NotRun: status == 429 || status == 503}
 }
 
+// recordHarmful records five crashes and then late runs of requests with the harmful part.
+func recordHarmful(c *checker, s *sentRequest, late int) {
+	start := time.Now().Add(-time.Minute)
+	for range 5 {
+		c.recordHarm(start)
+	}
+	s.harmful, s.kind.nonIdempotent = true, false
+	for range late {
+		run := runOf(s)
+		run.At = start.Add(contactTime + time.Second)
+		c.recordRun(run)
+	}
+	c.checkHarmful(start)
+}
+
 // TestChecker checks that the checker reports each kind of violation, and none
 // where no guarantee is broken.
 func TestChecker(t *testing.T) {
@@ -54,6 +69,8 @@
 			c.addFaultSpan(0, s.sentAt, s.sentAt.Add(time.Second))
 			c.recordAnswer(s, newAnswer(503, ""))
 		}},
+		{"harmful part known", "", func(c *checker, s *sentRequest) { recordHarmful(c, s, maxLateHarmful) }},
+		{"harmful part sent on", "harmful part", func(c *checker, s *sentRequest) { recordHarmful(c, s, maxLateHarmful+1) }},
 		{"lost", "lost", func(c *checker, s *sentRequest) {
 			c.recordAnswer(s, platformtest.Response{Err: http.ErrServerClosed})
 			for range c.lostRequests(s.sentAt, time.Now()) {
--- a/bench/soak/proxy.go
+++ b/bench/soak/proxy.go
@@ -35,9 +35,11 @@
 
 // proxy forwards TCP connections to a target and injects faults into them.
 type proxy struct {
-	ln net.Listener
+	address string
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// ln is nil while the proxy refuses connections.
+	ln     net.Listener
 	target string
 	fault  LinkFault
 	// changed is closed and replaced whenever fault changes.
@@ -50,18 +52,40 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for proxy")
 	}
-	p := &proxy{ln: ln, target: target, changed: make(chan struct{}), conns: make(map[*net.TCPConn]bool)}
-	go p.accept()
+	p := &proxy{address: ln.Addr().String(), ln: ln, target: target, changed: make(chan struct{}), conns: make(map[*net.TCPConn]bool)}
+	go p.accept(ln)
 	return p, nil
 }
 
-func (p *proxy) addr() string { return p.ln.Addr().String() }
+func (p *proxy) addr() string { return p.address }
 
+// close closes all connections and refuses new ones.
 func (p *proxy) close() {
-	_ = p.ln.Close()
+	p.mu.Lock()
+	if p.ln != nil {
+		_ = p.ln.Close()
+		p.ln = nil
+	}
+	p.mu.Unlock()
 	p.resetConns()
 }
 
+// reopen accepts connections again after close.
+func (p *proxy) reopen() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ln != nil {
+		return nil
+	}
+	ln, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return errors.Wrap(err, "listen for proxy again")
+	}
+	p.ln = ln
+	go p.accept(ln)
+	return nil
+}
+
 // setFault begins a fault, or ends it if f is LinkHealthy.
 func (p *proxy) setFault(f LinkFault) {
 	if f == LinkReset {
@@ -92,9 +116,9 @@
 	}
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(ln net.Listener) {
 	for {
-		c, err := p.ln.Accept()
+		c, err := ln.Accept()
 		if err != nil {
 			return
 		}
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -30,8 +30,10 @@
 	PlannedOnly                                bool
 	Requests, Served                           int
 	RequestsAfterRecovery, ServedAfterRecovery int
-	Violations                                 []string
-	Faults                                     []string
+	// Harmed is how many engines crashed under requests with the harmful part.
+	Harmed     int
+	Violations []string
+	Faults     []string
 }
 
 const (
@@ -62,6 +64,9 @@
 	defer cancel()
 	start := time.Now()
 	callers := tb.startCallers(ctx, o.Seed)
+	if hasHarmfulPart(o.Seed) {
+		callers.Go(func() { tb.sendHarmful(ctx, o.Seed) })
+	}
 	f := &faultInjector{tb: tb}
 	f.run(o.Seed, o.FaultDuration, report.PlannedOnly)
 	faultsEnded := time.Now()
@@ -73,6 +78,7 @@
 	tb.checkAfterRun(&report, start, faultsEnded, recovered)
 	tb.checkWithdrawnKey()
 	tb.checker.mu.Lock()
+	report.Harmed = len(tb.checker.harmed)
 	report.Violations, report.Faults = tb.checker.violations, f.log
 	tb.checker.mu.Unlock()
 	return report, nil
@@ -84,6 +90,7 @@
 	window := time.Duration(bounds.QuotaWindowS * float64(time.Second))
 	c.checkQuota(smallTeam, window, (smallRate*bounds.QuotaWindowS+smallBurst)*(1+bounds.QuotaOver)+bounds.QuotaSlack)
 	c.checkRetryBudget(time.Duration(bounds.RetryWindowS*float64(time.Second)), bounds.RetryRatio, bounds.RetrySlack)
+	c.checkHarmful(faultsEnded)
 	report.Requests, report.Served = c.countServedSince(start)
 	report.RequestsAfterRecovery, report.ServedAfterRecovery = c.countServedSince(recovered)
 	c.mu.Lock()
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -33,6 +33,7 @@
 		}
 	}
 	run(1, 5*time.Second)
+	run(3, 5*time.Second) // with a part in prompts that crashes engines
 	for seed, cause := range regressionSeeds {
 		t.Logf("seed %d failed in the past: %s", seed, cause)
 		run(seed, 12*time.Second)
--- a/bench/soak/testbed.go
+++ b/bench/soak/testbed.go
@@ -188,7 +188,10 @@
 	if h.engine {
 		e := platformtest.NewEngine(platformtest.EngineOptions{
 			ID: h.id, StartMS: startMS, WeightsMB: 100, ModelMB: 40, MaxAdapters: 4, OnDisk: []string{"m1", "m2", "m3"}, LoadTime: 300 * time.Millisecond,
-			Events: streamEvents, EventTime: 25 * time.Millisecond, OnRun: tb.checker.recordRun,
+			Events: streamEvents, EventTime: 25 * time.Millisecond, OnRun: func(r platformtest.Run) {
+				tb.checker.recordRun(r)
+				tb.crashUnder(h, r)
+			},
 		}, []string{"m1", "m2", "m1"}[h.index])
 		h.engines = append(h.engines, e)
 		handler, registration = e, e.UpstreamRecord("writers", dc, h.link.addr(), "ready")
@@ -202,6 +205,9 @@
 	}
 	h.server = server
 	h.link.setTarget(addr)
+	if err := h.link.reopen(); err != nil {
+		return err
+	}
 	tb.store.Put(platformtest.UpstreamTopic, h.id, registration)
 	return nil
 }
@@ -211,7 +217,7 @@
 func (tb *testbed) crashUpstream(h *upstreamHost) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.link.resetConns()
+	h.link.close()
 	_ = h.server.Close()
 	return h.id
 }
