Name the quarantine's terms for what they do

Cause: the words of a court (judge, convict, guilty) for attributing crashes and refusing content are not terms of the field. No behaviour changes.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -30,13 +30,13 @@
 	if !r.g.Quarantine.Active() {
 		return false
 	}
-	guilty, until, ok := r.g.Quarantine.Check(r.suspects())
+	suspect, until, ok := r.g.Quarantine.Check(r.suspects())
 	if !ok {
 		return false
 	}
 	r.g.Stats.quarantined.Inc()
-	r.g.Logger.Info("request contains what crashed several upstreams", r.requestIDField(), zap.String("suspect", string(guilty)), zap.Time("until", until))
-	reason := fmt.Sprintf("%s crashed several upstreams", guilty)
+	r.g.Logger.Info("request contains what crashed several upstreams", r.requestIDField(), zap.String("suspect", string(suspect)), zap.Time("until", until))
+	reason := fmt.Sprintf("%s crashed several upstreams", suspect)
 	if r.writer.started || r.fallback != nil || r.possibleRuns > 0 {
 		r.fail(reason, 0)
 	} else {
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -20,7 +20,7 @@
 }
 
 // TestRetryOfWhatCrashesUpstreams guards against a request that is sent on after a crash
-// although one more crash would convict a part of its prompt, and against one that is not
+// although one more crash would quarantine a part of its prompt, and against one that is not
 // sent on after an ordinary crash.
 func TestRetryOfWhatCrashesUpstreams(t *testing.T) {
 	for name, before := range map[string][]string{"first crash": nil, "second crash": {"other/1"}} {
@@ -41,9 +41,9 @@
 	}
 }
 
-// TestConvictedContent guards against content that crashes upstreams and is sent to one, and
+// TestQuarantinedContentIsSent guards against content that crashes upstreams and is sent to one, and
 // against a refusal that names no content or no time.
-func TestConvictedContent(t *testing.T) {
+func TestQuarantinedContentIsSent(t *testing.T) {
 	check := is.New(t)
 	env := newEnv(t, chunkedStream(true, event1))
 	env.crashesOf("u/1", "u/2", "u/3")
--- a/internal/managed/crash_cluster_test.go
+++ b/internal/managed/crash_cluster_test.go
@@ -17,8 +17,8 @@
 	"github.com/jacinthbend/jacinthbend/platform/platformtest"
 )
 
-// guiltyPart is the part of prompts that crashes the engines of a crashCluster.
-const guiltyPart = "bad0"
+// crashingPart is the part of prompts that crashes the engines of a crashCluster.
+const crashingPart = "bad0"
 
 // crashCluster runs several entry instances before engines that a part of a prompt
 // crashes.
@@ -35,7 +35,7 @@
 	outcomes []outcome
 }
 
-// outcome is how a request without the guilty part ended.
+// outcome is how a request without the crashing part ended.
 type outcome struct {
 	at     time.Time
 	served bool
@@ -51,7 +51,7 @@
 	c := &crashCluster{t: t, store: platformtest.NewStore()}
 	storeAddr := startFakeServer(t, c.store)
 	for i := range engines {
-		e, err := platformtest.StartCrashingEngine(c.store, "e", fmt.Sprintf("i-%d", i), guiltyPart, engineDowntime, platformtest.EngineOptions{
+		e, err := platformtest.StartCrashingEngine(c.store, "e", fmt.Sprintf("i-%d", i), crashingPart, engineDowntime, platformtest.EngineOptions{
 			WeightsMB: 100, ModelMB: 60, MaxAdapters: 4, Events: 3, EventTime: 20 * time.Millisecond,
 		}, "m1")
 		check.NoErr(err)
@@ -124,7 +124,7 @@
 }
 
 // traffic sends requests to random entry instances until stop is closed, one of six with
-// the guilty part. The others share their first part with it.
+// the crashing part. The others share their first part with it.
 func (c *crashCluster) traffic(stop <-chan struct{}) {
 	const interval = 8 * time.Millisecond
 	r := rand.New(rand.NewPCG(1, 2))
@@ -136,15 +136,15 @@
 			return
 		case <-time.After(interval):
 		}
-		entry, guilty := r.IntN(len(c.entries)), i%6 == 0
+		entry, crashing := r.IntN(len(c.entries)), i%6 == 0
 		part := fmt.Sprintf("50%d", r.IntN(20))
-		if guilty {
-			part = guiltyPart
+		if crashing {
+			part = crashingPart
 		}
 		wg.Go(func() {
 			at := time.Now()
 			resp := c.send(entry, part)
-			if !guilty {
+			if !crashing {
 				c.mu.Lock()
 				c.outcomes = append(c.outcomes, outcome{at, resp.Err == nil && resp.Status == http.StatusOK})
 				c.mu.Unlock()
@@ -153,7 +153,7 @@
 	}
 }
 
-// history returns when requests with the guilty part arrived at engines and when engines
+// history returns when requests with the crashing part arrived at engines and when engines
 // ended, in order.
 func (c *crashCluster) history() (arrivals, crashes []time.Time) {
 	for _, e := range c.engines {
--- a/internal/managed/crash_reports.go
+++ b/internal/managed/crash_reports.go
@@ -27,11 +27,11 @@
 	crashReadInterval = 150 * time.Millisecond
 	// instancesAtFullRate is the number of entry instances up to which these two apply.
 	// With more, they grow in proportion, at most by the factor maxCrashSlowdown: a
-	// conviction must spread within the platform's shortest time of contact, 3 s.
+	// quarantine must spread within the platform's shortest time of contact, 3 s.
 	instancesAtFullRate = 16
 	maxCrashSlowdown    = 6.0
 	// crashCatchUpInterval is how often reports are read in addition while something is
-	// about to be convicted or was lately. A connection that has gone silent blocks a
+	// about to be quarantined or was lately. A connection that has gone silent blocks a
 	// waiting read for crashReadWait.
 	crashCatchUpInterval = time.Second
 	crashReadRetry       = 400 * time.Millisecond
@@ -117,7 +117,7 @@
 func (c *crashReports) catchUp(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, crashCatchUpInterval)
-		if c.table.Alarmed() {
+		if c.table.NearThreshold() {
 			c.readNow(ctx)
 		}
 	}
@@ -184,8 +184,8 @@
 		c.table.SetReport(it.Key, r)
 	}
 	c.next, c.readAt = max(c.next, page.Next), time.Now()
-	if n := c.table.Convicted(); n > 0 && len(page.Items) > 0 {
-		c.logger.Info("crash reports read", zap.Int("reports", len(page.Items)), zap.Int("convicted", n))
+	if n := c.table.Quarantined(); n > 0 && len(page.Items) > 0 {
+		c.logger.Info("crash reports read", zap.Int("reports", len(page.Items)), zap.Int("quarantined", n))
 	}
 }
 
--- a/internal/managed/prompt_crash_test.go
+++ b/internal/managed/prompt_crash_test.go
@@ -53,12 +53,12 @@
 	c := newCrashCluster(t, 2, 6)
 	_ = c.store.SetDown(true)
 	c.eventually("part refused by one instance during the outage", func() bool {
-		resp := c.send(0, guiltyPart)
+		resp := c.send(0, crashingPart)
 		return resp.Err == nil && resp.Status == 503 && strings.Contains(resp.Body, "content_quarantined") && resp.Header.Get("Retry-After") != ""
 	})
 	_ = c.store.SetDown(false)
 	c.eventually("part refused by the other instance", func() bool {
-		return strings.Contains(c.send(1, guiltyPart).Body, "content_quarantined")
+		return strings.Contains(c.send(1, crashingPart).Body, "content_quarantined")
 	})
 	arrivals, _ := c.history()
 	before := len(arrivals)
@@ -73,7 +73,7 @@
 		c.startEntry(i)
 	}
 	for i := range c.entries {
-		check.True(strings.Contains(c.send(i, guiltyPart).Body, "content_quarantined"))
+		check.True(strings.Contains(c.send(i, crashingPart).Body, "content_quarantined"))
 		check.Equal(c.send(i, "5011").Status, 200)
 	}
 	arrivals, _ = c.history()
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/attribution.go
@@ -6,66 +6,66 @@
 	"time"
 )
 
-// settleTime is how long a part with evidence in its favour is not convicted after the
-// crash that would convict it: requests with a harmless one that are running then complete
+// settleTime is how long a part with evidence in its favour is not quarantined after the
+// crash that would quarantine it: requests with a harmless one that are running then complete
 // meanwhile, which clears it.
 const settleTime = 1500 * time.Millisecond
 
-// judgement is the result of judging all known crashes.
-type judgement struct {
-	// convicted has the time of the last crash of each convicted suspect.
-	convicted map[Suspect]time.Time
-	// weights are those of the crashes of the other suspects that no convicted one
+// attribution is what all known crashes are attributed to.
+type attribution struct {
+	// quarantined has the time of the last crash of each quarantined suspect.
+	quarantined map[Suspect]time.Time
+	// weights are those of the crashes of the other suspects that no quarantined one
 	// explains.
 	weights map[Suspect]int
-	// again is when to judge again without new evidence; zero if not needed.
+	// again is when to attribute the crashes again without new evidence; zero if not needed.
 	again time.Time
 }
 
-// judge convicts the suspects that explain most crashes. Requests that were only running
+// attribute quarantines the suspects that explain most crashes. Requests that were only running
 // beside a harmful one share some of its crashes, but not all of them, so a crash that a
-// convicted suspect explains no longer counts against the others. Of suspects with equal
-// evidence, the most specific one is convicted: if one request is sent again and again,
+// quarantined suspect explains no longer counts against the others. Of suspects with equal
+// evidence, the most specific one is quarantined: if one request is sent again and again,
 // its digest and not the parts that it shares with others.
 //
 // The first part of a prompt, which requests share most, and parts for which
-// recentlySound is true are judged last and only after settleTime: in a series of crashes
+// recentlyCompleted is true are considered last and only after settleTime: in a series of crashes
 // with several causes they are in all of them.
-func judge(crashes []*Crash, recentlySound func(Suspect) bool, now time.Time) judgement {
-	j := judgement{convicted: make(map[Suspect]time.Time)}
+func attribute(crashes []*Crash, recentlyCompleted func(Suspect) bool, now time.Time) attribution {
+	j := attribution{quarantined: make(map[Suspect]time.Time)}
 	explained := make(map[*Crash]bool)
 	likely := func(s Suspect, position int) bool {
-		return !s.isPart() || position > 0 && !recentlySound(s)
+		return !s.isPart() || position > 0 && !recentlyCompleted(s)
 	}
 	for {
-		guilty := j.strongest(crashes, explained, likely)
-		if len(guilty) == 0 {
+		found := j.strongest(crashes, explained, likely)
+		if len(found) == 0 {
 			break
 		}
-		j.convict(guilty, crashes, explained)
+		j.quarantine(found, crashes, explained)
 	}
 	unlikely := func(s Suspect, position int) bool { return !likely(s, position) }
 	for _, s := range j.strongest(crashes, explained, unlikely) {
-		if due := convictingCrash(s, crashes).Add(settleTime); now.Before(due) {
+		if due := thresholdCrash(s, crashes).Add(settleTime); now.Before(due) {
 			if j.again.IsZero() || due.Before(j.again) {
 				j.again = due
 			}
 			continue
 		}
-		j.convict([]Suspect{s}, crashes, explained)
+		j.quarantine([]Suspect{s}, crashes, explained)
 	}
 	j.weights = weigh(crashes, explained, likely)
 	return j
 }
 
 // strongest returns the suspects among those that accept selects that have the most
-// evidence, if it convicts; several if they cannot be told apart.
-func (j *judgement) strongest(crashes []*Crash, explained map[*Crash]bool, accept func(Suspect, int) bool) []Suspect {
-	best, bestRank := convictWeight, -1
+// evidence, if it reaches quarantineWeight; several if they cannot be told apart.
+func (j *attribution) strongest(crashes []*Crash, explained map[*Crash]bool, accept func(Suspect, int) bool) []Suspect {
+	best, bestRank := quarantineWeight, -1
 	var out []Suspect
 	positions := positionsOf(crashes)
 	for s, w := range weigh(crashes, explained, accept) {
-		if _, done := j.convicted[s]; done {
+		if _, done := j.quarantined[s]; done {
 			continue
 		}
 		rank := specificity(s, positions[s])
@@ -80,9 +80,9 @@
 	return out
 }
 
-func (j *judgement) convict(guilty []Suspect, crashes []*Crash, explained map[*Crash]bool) {
-	for _, s := range guilty {
-		j.convicted[s] = lastCrash(s, crashes)
+func (j *attribution) quarantine(found []Suspect, crashes []*Crash, explained map[*Crash]bool) {
+	for _, s := range found {
+		j.quarantined[s] = lastCrash(s, crashes)
 		for _, c := range crashes {
 			if counts(c, s) {
 				explained[c] = true
@@ -136,8 +136,8 @@
 	return out
 }
 
-// convictingCrash returns when the evidence against a suspect sufficed to convict it.
-func convictingCrash(s Suspect, crashes []*Crash) time.Time {
+// thresholdCrash returns when the evidence against a suspect reached quarantineWeight.
+func thresholdCrash(s Suspect, crashes []*Crash) time.Time {
 	var against []*Crash
 	for _, c := range crashes {
 		if counts(c, s) {
@@ -147,7 +147,7 @@
 	slices.SortFunc(against, func(a, b *Crash) int { return cmp.Compare(a.AtMS, b.AtMS) })
 	w := 0
 	for _, c := range against {
-		if w += c.weight(); w >= convictWeight {
+		if w += c.weight(); w >= quarantineWeight {
 			return c.at()
 		}
 	}
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -21,12 +21,12 @@
 	Cleared map[Suspect]bool `json:"cleared,omitempty"`
 }
 
-// Weight of a crash as evidence, and the weight that convicts: three crashes of upstreams
+// Weight of a crash as evidence, and the weight at which a suspect is quarantined: three crashes of upstreams
 // in good order. One that has just started may have crashed under its load.
 const (
-	warmWeight    = 2
-	coldWeight    = 1
-	convictWeight = 3 * warmWeight
+	warmWeight       = 2
+	coldWeight       = 1
+	quarantineWeight = 3 * warmWeight
 )
 
 func (c *Crash) weight() int {
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -13,15 +13,15 @@
 	Crashes []Crash `json:"crashes"`
 }
 
-// Report returns this instance's report. It leaves out what convicts nobody: suspects that
-// it has cleared itself, and for a crash that a convicted suspect explains those that it
+// Report returns this instance's report. It leaves out what quarantines nothing: suspects that
+// it has cleared itself, and for a crash that a quarantined suspect explains those that it
 // is the only evidence against.
 func (t *Table) Report() Report {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.merge(now)
-	t.judge(now)
+	t.attribute(now)
 	r := Report{Crashes: make([]Crash, 0, len(t.own))}
 	for _, c := range t.own {
 		out := c.clone()
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -18,7 +18,7 @@
 	requestPrefix = "request/"
 )
 
-// Limits of the suspects of one request. A request that exceeds them is judged by its
+// Limits of the suspects of one request. A request that exceeds them is identified by its
 // first parts and by its digest.
 const (
 	maxParts = 32
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -24,27 +24,27 @@
 	// name.
 	own     map[string]*Crash
 	reports map[string]Report
-	// crashes merges all of them, by id; judgement follows from it.
-	crashes   map[string]*Crash
-	judgement judgement
-	// stale tells that there is evidence which has not been judged; judgedAt is when the
+	// crashes merges all of them, by id; attribution follows from it.
+	crashes     map[string]*Crash
+	attribution attribution
+	// stale tells that there is evidence since the last attribution; attributedAt is when the
 	// last was.
-	stale    bool
-	judgedAt time.Time
+	stale        bool
+	attributedAt time.Time
 	// mergedAt is when old crashes were last dropped.
 	mergedAt time.Time
-	// sound has the time at which requests with a part last completed here.
-	sound *simplelru.LRU[Suspect, time.Time]
+	// completed has the time at which requests with a part last completed here.
+	completed *simplelru.LRU[Suspect, time.Time]
 }
 
 const (
-	// maxSoundParts bounds the parts of which it is known that requests complete.
-	maxSoundParts = 4096
-	// soundTime is how long a completion speaks for a part.
-	soundTime = 30 * time.Second
-	// judgeInterval is how old the judgement may be that Check uses. All requests at an
+	// maxCompletedParts bounds the parts of which it is known that requests complete.
+	maxCompletedParts = 4096
+	// completionTime is how long a completion speaks for a part.
+	completionTime = 30 * time.Second
+	// attributionInterval is how old the attribution may be that Check uses. All requests at an
 	// upstream that crashes add evidence at the same time.
-	judgeInterval = 20 * time.Millisecond
+	attributionInterval = 20 * time.Millisecond
 	// recentTime is how long after a crash others may report more of the same cause.
 	recentTime = 20 * time.Second
 	// expiryInterval is how often old crashes are dropped at least.
@@ -53,36 +53,36 @@
 
 // NewTable returns a table without crashes.
 func NewTable() *Table {
-	sound, err := simplelru.NewLRU[Suspect, time.Time](maxSoundParts, nil)
+	completed, err := simplelru.NewLRU[Suspect, time.Time](maxCompletedParts, nil)
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
 	return &Table{
 		changed: make(chan struct{}, 1), own: make(map[string]*Crash), reports: make(map[string]Report),
-		crashes: make(map[string]*Crash), sound: sound,
+		crashes: make(map[string]*Crash), completed: completed,
 	}
 }
 
 // Active reports whether any crash is known.
 func (t *Table) Active() bool { return t.active.Load() }
 
-// Alarmed reports whether one more crash would convict something, or something was
-// convicted, for a crash within recentTime.
-func (t *Table) Alarmed() bool {
+// NearThreshold reports whether one more crash would quarantine something, or something was
+// quarantined, for a crash within recentTime.
+func (t *Table) NearThreshold() bool {
 	if !t.Active() {
 		return false
 	}
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.judge(now)
+	t.attribute(now)
 	for _, c := range t.crashes {
 		if now.Sub(c.at()) >= recentTime {
 			continue
 		}
 		for s := range c.Suspects {
-			_, convicted := t.judgement.convicted[s]
-			if counts(c, s) && (convicted || t.judgement.weights[s] >= convictWeight-warmWeight) {
+			_, quarantined := t.attribution.quarantined[s]
+			if counts(c, s) && (quarantined || t.attribution.weights[s] >= quarantineWeight-warmWeight) {
 				return true
 			}
 		}
@@ -131,10 +131,10 @@
 	urgent := false
 	for _, s := range suspects {
 		if s.isPart() {
-			t.sound.Add(s, now)
+			t.completed.Add(s, now)
 		}
-		// One crash convicts nobody, so the others may learn of its clearance later.
-		urgent = urgent || t.evidence(s) >= convictWeight-warmWeight
+		// One crash quarantines nothing, so the others may learn of its clearance later.
+		urgent = urgent || t.evidence(s) >= quarantineWeight-warmWeight
 		for id, c := range t.crashes {
 			if !counts(c, s) {
 				continue
@@ -161,17 +161,17 @@
 	return w
 }
 
-// Check returns the convicted one among the suspects of a request and until when it is
+// Check returns the quarantined one among the suspects of a request and until when it is
 // refused. ok is false if there is none.
-func (t *Table) Check(suspects []Suspect) (guilty Suspect, until time.Time, ok bool) {
+func (t *Table) Check(suspects []Suspect) (found Suspect, until time.Time, ok bool) {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if now.Sub(t.judgedAt) >= judgeInterval {
-		t.judge(now)
+	if now.Sub(t.attributedAt) >= attributionInterval {
+		t.attribute(now)
 	}
 	for _, s := range suspects {
-		if last, convicted := t.judgement.convicted[s]; convicted && now.Before(last.Add(Retention)) {
+		if last, quarantined := t.attribution.quarantined[s]; quarantined && now.Before(last.Add(Retention)) {
 			return s, last.Add(Retention), true
 		}
 	}
@@ -179,39 +179,39 @@
 }
 
 // MayRetry reports whether a request may be sent to another upstream after the one that
-// ran it crashed. It may not if one further crash would convict one of its suspects.
+// ran it crashed. It may not if one further crash would quarantine one of its suspects.
 func (t *Table) MayRetry(suspects []Suspect) bool {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.judge(now)
+	t.attribute(now)
 	return !slices.ContainsFunc(suspects, func(s Suspect) bool {
-		_, convicted := t.judgement.convicted[s]
-		return convicted || t.judgement.weights[s] >= convictWeight-warmWeight
+		_, quarantined := t.attribution.quarantined[s]
+		return quarantined || t.attribution.weights[s] >= quarantineWeight-warmWeight
 	})
 }
 
-// Convicted returns how many suspects are convicted.
-func (t *Table) Convicted() int {
+// Convicted returns how many suspects are quarantined.
+func (t *Table) Quarantined() int {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.judge(now)
-	return len(t.judgement.convicted)
+	t.attribute(now)
+	return len(t.attribution.quarantined)
 }
 
-// judge judges the crashes if there is new evidence or a suspect's time is up.
-func (t *Table) judge(now time.Time) {
+// attribute attributes the crashes if there is new evidence or a suspect's time is up.
+func (t *Table) attribute(now time.Time) {
 	if len(t.crashes) > 0 && now.Sub(t.mergedAt) >= expiryInterval {
 		t.merge(now)
 	}
-	if !t.stale && (t.judgement.again.IsZero() || now.Before(t.judgement.again)) {
+	if !t.stale && (t.attribution.again.IsZero() || now.Before(t.attribution.again)) {
 		return
 	}
-	t.stale, t.judgedAt = false, now
-	t.judgement = judge(slices.Collect(maps.Values(t.crashes)), func(s Suspect) bool {
-		at, ok := t.sound.Peek(s)
-		return ok && now.Sub(at) < soundTime
+	t.stale, t.attributedAt = false, now
+	t.attribution = attribute(slices.Collect(maps.Values(t.crashes)), func(s Suspect) bool {
+		at, ok := t.completed.Peek(s)
+		return ok && now.Sub(at) < completionTime
 	}, now)
 }
 
@@ -257,7 +257,7 @@
 	if len(t.own) <= maxCrashes {
 		return
 	}
-	// Crashes that explain a conviction are needed for as long as it holds.
+	// Crashes that explain a quarantine are needed for as long as it lasts.
 	all := slices.Collect(maps.Values(t.own))
 	slices.SortFunc(all, func(a, b *Crash) int {
 		return cmp.Or(cmp.Compare(t.explains(b), t.explains(a)), cmp.Compare(b.AtMS, a.AtMS))
@@ -267,9 +267,9 @@
 	}
 }
 
-// explains returns 1 if a crash counts against a convicted suspect.
+// explains returns 1 if a crash counts against a quarantined suspect.
 func (t *Table) explains(c *Crash) int {
-	for s := range t.judgement.convicted {
+	for s := range t.attribution.quarantined {
 		if counts(c, s) {
 			return 1
 		}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -19,22 +19,22 @@
 	return append(out, Suspect(requestPrefix+digest))
 }
 
-func convicted(t *Table, suspects []Suspect) bool {
+func quarantined(t *Table, suspects []Suspect) bool {
 	_, _, ok := t.Check(suspects)
 	return ok
 }
 
-// settle lets Check judge again.
-func settle() { time.Sleep(judgeInterval) }
+// settle lets Check attribute the crashes again.
+func settle() { time.Sleep(attributionInterval) }
 
-// TestBystandersShareBlame guards against a harmful part that is not recognised by the
+// TestUnrelatedContentIsQuarantined guards against a harmful part that is not recognised by the
 // fifth crash, and against refusing what only ran beside it: parts that it shares with
 // sound requests, their other parts, and their digests. With two harmful parts, their
 // common first part is in more crashes than each of them.
-func TestBystandersShareBlame(t *testing.T) {
-	for _, guilty := range [][]string{{"bad"}, {"bad1", "bad2"}} {
+func TestUnrelatedContentIsQuarantined(t *testing.T) {
+	for _, found := range [][]string{{"bad"}, {"bad1", "bad2"}} {
 		for seed := range uint64(40) {
-			t.Run(fmt.Sprintf("%v/%d", guilty, seed), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%v/%d", found, seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					check := is.New(t)
 					r := rand.New(rand.NewPCG(seed, 1))
@@ -52,16 +52,16 @@
 						return request(fmt.Sprint("s", n), "first", fmt.Sprint("subject", r.IntN(30)), fmt.Sprint("own", n))
 					}
 					n, crashes := 0, 0
-					for crash := range 5 * len(guilty) {
+					for crash := range 5 * len(found) {
 						// Sound requests complete between two crashes.
 						for range r.IntN(4) {
 							n++
 							tables[r.IntN(3)].RecordComplete(sound(n))
 						}
 						time.Sleep(time.Duration(r.IntN(400)) * time.Millisecond)
-						bad := request(fmt.Sprint("b", crash), "first", guilty[crash%len(guilty)], fmt.Sprint("own", crash))
+						bad := request(fmt.Sprint("b", crash), "first", found[crash%len(found)], fmt.Sprint("own", crash))
 						at := r.IntN(3)
-						if convicted(tables[at], bad) {
+						if quarantined(tables[at], bad) {
 							continue
 						}
 						crashes++
@@ -74,16 +74,16 @@
 						publish()
 						settle()
 					}
-					check.True(crashes <= 5*len(guilty))
+					check.True(crashes <= 5*len(found))
 					for _, table := range tables {
-						for _, g := range guilty {
-							check.True(convicted(table, request("new", "first", g, "x")))
+						for _, g := range found {
+							check.True(quarantined(table, request("new", "first", g, "x")))
 						}
-						check.True(!convicted(table, request("new", "first", "other", "x")))
+						check.True(!quarantined(table, request("new", "first", "other", "x")))
 						time.Sleep(2 * settleTime)
 						table.RecordComplete(request("new", "first", "other", "x"))
 						settle()
-						check.True(!convicted(table, request("new", "first", "other", "x")))
+						check.True(!quarantined(table, request("new", "first", "other", "x")))
 					}
 				})
 			})
@@ -99,19 +99,19 @@
 		table := NewTable()
 		bad := request("bad", "first", "subject", "own")
 		for i := range 3 {
-			check.True(!convicted(table, bad))
+			check.True(!quarantined(table, bad))
 			table.RecordCrash(fmt.Sprint("u", i), false, bad)
 			settle()
 		}
-		check.True(convicted(table, bad))
-		check.True(!convicted(table, request("other", "first", "subject", "own2")))
-		check.Equal(table.Convicted(), 1)
+		check.True(quarantined(table, bad))
+		check.True(!quarantined(table, request("other", "first", "subject", "own2")))
+		check.Equal(table.Quarantined(), 1)
 	})
 }
 
-// TestPartThatWasSound guards against a part that crashes upstreams from a certain moment
+// TestPartThatUsedToComplete guards against a part that crashes upstreams from a certain moment
 // on and is protected by earlier completions for good.
-func TestPartThatWasSound(t *testing.T) {
+func TestPartThatUsedToComplete(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		check := is.New(t)
 		table := NewTable()
@@ -122,9 +122,9 @@
 			table.RecordCrash(fmt.Sprint("u", i), false, request(fmt.Sprint("b", i), fmt.Sprint("first", i), "part", fmt.Sprint("x", i)))
 			time.Sleep(300 * time.Millisecond)
 		}
-		check.True(!convicted(table, request("new", "first", "part", "y")))
+		check.True(!quarantined(table, request("new", "first", "part", "y")))
 		time.Sleep(settleTime)
-		check.True(convicted(table, request("new", "first", "part", "y")))
+		check.True(quarantined(table, request("new", "first", "part", "y")))
 	})
 }
 
@@ -139,8 +139,8 @@
 		}
 		b.SetReport("a", a.Report())
 		settle()
-		check.True(convicted(a, request("x", "part")))
-		check.True(convicted(b, request("x", "part")))
+		check.True(quarantined(a, request("x", "part")))
+		check.True(quarantined(b, request("x", "part")))
 		<-a.Changed()
 		b.RecordComplete(request("running since before", "part"))
 		select {
@@ -150,8 +150,8 @@
 		}
 		a.SetReport("b", b.Report())
 		settle()
-		check.True(!convicted(a, request("x", "part")))
-		check.True(!convicted(b, request("x", "part")))
+		check.True(!quarantined(a, request("x", "part")))
+		check.True(!quarantined(b, request("x", "part")))
 	})
 }
 
@@ -169,18 +169,18 @@
 	})
 }
 
-// TestColdCrashes guards against a conviction after three crashes of upstreams that had
+// TestColdCrashes guards against a quarantine after three crashes of upstreams that had
 // just started and may have crashed under their load.
 func TestColdCrashes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		check := is.New(t)
 		table := NewTable()
 		for i := range 6 {
-			check.True(!convicted(table, request("x", "f", "part")))
+			check.True(!quarantined(table, request("x", "f", "part")))
 			table.RecordCrash(fmt.Sprint("u", i), true, request(fmt.Sprint("d", i), "f", "part"))
 			settle()
 		}
-		check.True(convicted(table, request("x", "f", "part")))
+		check.True(quarantined(table, request("x", "f", "part")))
 	})
 }
 
@@ -196,16 +196,16 @@
 		restarted := NewTable()
 		restarted.Restore(table.Report())
 		settle()
-		check.True(convicted(restarted, request("x", "f", "part")))
+		check.True(quarantined(restarted, request("x", "f", "part")))
 		time.Sleep(Retention)
-		check.True(!convicted(restarted, request("x", "f", "part")))
+		check.True(!quarantined(restarted, request("x", "f", "part")))
 		check.True(!restarted.Active())
 		check.Equal(len(restarted.Report().Crashes), 0)
 	})
 }
 
 // TestBounds guards against memory and reports that grow with the number of crashes or of
-// requests, and against a conviction that ends because later crashes displace its evidence.
+// requests, and against a quarantine that ends because later crashes displace its evidence.
 func TestBounds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		check := is.New(t)
@@ -214,7 +214,7 @@
 			table.RecordCrash(fmt.Sprint("bad", i), false, request(fmt.Sprint("d", i), "f", "part"))
 		}
 		settle()
-		check.True(convicted(table, request("x", "f", "part")))
+		check.True(quarantined(table, request("x", "f", "part")))
 		for i := range 3 * maxCrashes {
 			for j := range 8 {
 				table.RecordCrash(fmt.Sprint("u", i), false, request(fmt.Sprint(i, j), fmt.Sprint("p", i, j)))
@@ -229,26 +229,26 @@
 		for _, c := range report.Crashes {
 			check.True(len(c.Suspects) <= maxSuspects)
 		}
-		check.True(convicted(table, request("x", "f", "part")))
+		check.True(quarantined(table, request("x", "f", "part")))
 	})
 }
 
-// TestAlarm guards against instances that read the reports of others all the time after an
-// ordinary crash, and against ones that do not when a conviction is near.
-func TestAlarm(t *testing.T) {
+// TestNearThreshold guards against instances that read the reports of others all the time after an
+// ordinary crash, and against ones that do not when a quarantine is near.
+func TestNearThreshold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		check := is.New(t)
 		table := NewTable()
-		check.True(!table.Alarmed())
+		check.True(!table.NearThreshold())
 		table.RecordCrash("u1", false, request("a", "first", "part"))
-		check.True(!table.Alarmed())
+		check.True(!table.NearThreshold())
 		table.RecordCrash("u2", false, request("b", "first", "part"))
-		check.True(table.Alarmed())
+		check.True(table.NearThreshold())
 		time.Sleep(recentTime)
-		check.True(!table.Alarmed())
+		check.True(!table.NearThreshold())
 		table.RecordCrash("u3", false, request("c", "first", "part"))
-		check.True(table.Alarmed())
+		check.True(table.NearThreshold())
 		table.RecordComplete(request("d", "first", "part"))
-		check.True(!table.Alarmed())
+		check.True(!table.NearThreshold())
 	})
 }
