Do not refuse an unrelated part for long that was in all crashes

Cause: requests with it ran at all three engines that crashed in the first 0.3 s, before any had completed; the two parts could not be told apart, both were refused, and nothing was left that could clear the unrelated one. Change: a request whose answer had begun is a quarter of the evidence, several suspects that cannot be told apart wait 1.5 s for a completion, and a suspect is refused for 10 s after three crashes, a minute after four and ten minutes after more.

--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -12,8 +12,9 @@
 
 // regressionSeeds failed in the past; the value is the cause.
 var regressionSeeds = map[uint64]string{
-	4:  "a rate-limit refusal had no Retry-After: the wait was estimated from a time that had passed",
-	32: "the soak's own callers sent requests to an instance that had exited",
+	4:     "a rate-limit refusal had no Retry-After: the wait was estimated from a time that had passed",
+	88003: "a part of many prompts was refused for ten minutes, because requests with it ran at all engines that another part crashed",
+	32:    "the soak's own callers sent requests to an instance that had exited",
 }
 
 // TestSoak runs one seed with all faults for a short time, and every seed that
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -29,6 +29,7 @@
 func (r *request) attempt(ctx context.Context, choice *upstream.Choice, ticket *upstream.Ticket) attemptResult {
 	id := choice.Upstream.ID
 	r.query.Tried[id] = true
+	r.eventsBefore = r.events.Events
 	r.upstreams = append(r.upstreams, id)
 	r.estimatedTTFT = choice.Delay
 	if r.firstSentAt.IsZero() {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -48,7 +48,7 @@
 // recordCrash records the request as a suspect of a crash; c may be nil.
 func (r *request) recordCrash(c *crash) {
 	if c != nil {
-		r.g.Quarantine.RecordCrash(c.id, c.cold, r.suspects())
+		r.g.Quarantine.RecordCrash(c.id, c.cold, r.events.Events > r.eventsBefore, r.suspects())
 	}
 }
 
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -15,7 +15,7 @@
 // crashesOf records that upstreams crashed under requests with the part "bad".
 func (env *testEnv) crashesOf(ids ...string) {
 	for _, id := range ids {
-		env.gateway.Quarantine.RecordCrash(id, false, quarantine.Identity{Prompt: []fleet.PromptPart{{ID: "x-" + id}, {ID: "bad"}}}.Suspects())
+		env.gateway.Quarantine.RecordCrash(id, false, false, quarantine.Identity{Prompt: []fleet.PromptPart{{ID: "x-" + id}, {ID: "bad"}}}.Suspects())
 	}
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -56,6 +56,8 @@
 
 	writer streamWriter
 	events eventstream.Splitter
+	// eventsBefore is how many events earlier attempts got.
+	eventsBefore int
 	// resumeAfter and weightsVersion are sent to the upstream that resumes a
 	// stream: the id of the last event that the caller got and the weights that
 	// produced it.
--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -13,7 +13,7 @@
 
 // attribution is what all known crashes are attributed to.
 type attribution struct {
-	// quarantined has the time of the last crash of each quarantined suspect.
+	// quarantined has until when each suspect that reached quarantineWeight is refused.
 	quarantined map[Suspect]time.Time
 	// weights are those of the crashes of the other suspects that no quarantined one
 	// explains.
@@ -39,17 +39,14 @@
 	}
 	for {
 		found := j.strongest(crashes, explained, likely)
-		if len(found) == 0 {
+		if len(found) == 0 || len(found) > 1 && j.settling(found[0], crashes, now) {
 			break
 		}
 		j.quarantine(found, crashes, explained)
 	}
 	unlikely := func(s Suspect, position int) bool { return !likely(s, position) }
 	for _, s := range j.strongest(crashes, explained, unlikely) {
-		if due := thresholdCrash(s, crashes).Add(settleTime); now.Before(due) {
-			if j.again.IsZero() || due.Before(j.again) {
-				j.again = due
-			}
+		if j.settling(s, crashes, now) {
 			continue
 		}
 		j.quarantine([]Suspect{s}, crashes, explained)
@@ -58,6 +55,19 @@
 	return j
 }
 
+// settling reports whether settleTime has not passed since the crash that would quarantine
+// a suspect.
+func (j *attribution) settling(s Suspect, crashes []*Crash, now time.Time) bool {
+	due := thresholdCrash(s, crashes).Add(settleTime)
+	if !now.Before(due) {
+		return false
+	}
+	if j.again.IsZero() || due.Before(j.again) {
+		j.again = due
+	}
+	return true
+}
+
 // strongest returns the suspects among those that accept selects that have the most
 // evidence, if it reaches quarantineWeight; several if they cannot be told apart.
 func (j *attribution) strongest(crashes []*Crash, explained map[*Crash]bool, accept func(Suspect, int) bool) []Suspect {
@@ -82,7 +92,7 @@
 
 func (j *attribution) quarantine(found []Suspect, crashes []*Crash, explained map[*Crash]bool) {
 	for _, s := range found {
-		j.quarantined[s] = lastCrash(s, crashes)
+		j.quarantined[s] = refusedUntil(s, crashes)
 		for _, c := range crashes {
 			if counts(c, s) {
 				explained[c] = true
@@ -116,7 +126,7 @@
 		}
 		for s := range c.Suspects {
 			if !c.Cleared[s] && accept(s, positions[s]) {
-				out[s] += c.weight()
+				out[s] += c.weight(s)
 			}
 		}
 	}
@@ -147,19 +157,26 @@
 	slices.SortFunc(against, func(a, b *Crash) int { return cmp.Compare(a.AtMS, b.AtMS) })
 	w := 0
 	for _, c := range against {
-		if w += c.weight(); w >= quarantineWeight {
+		if w += c.weight(s); w >= quarantineWeight {
 			return c.at()
 		}
 	}
 	return time.Time{}
 }
 
-func lastCrash(s Suspect, crashes []*Crash) time.Time {
+// refusedUntil returns until when a quarantined suspect is refused.
+func refusedUntil(s Suspect, crashes []*Crash) time.Time {
 	var last time.Time
+	n := 0
 	for _, c := range crashes {
-		if counts(c, s) && c.at().After(last) {
+		if !counts(c, s) {
+			continue
+		}
+		n++
+		if c.at().After(last) {
 			last = c.at()
 		}
 	}
-	return last
+	const quarantineCrashes = quarantineWeight / warmWeight
+	return last.Add(durations[min(max(0, n-quarantineCrashes), len(durations)-1)])
 }
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -16,24 +16,36 @@
 	// Suspects are what the instance's requests at the upstream consist of, with the
 	// position within the request.
 	Suspects map[Suspect]int `json:"suspects,omitempty"`
+	// NotBegun are the suspects of which some request had not begun to get its answer. The
+	// others ran for a while without a crash, which speaks for them.
+	NotBegun map[Suspect]bool `json:"not_begun,omitempty"`
 	// Cleared are suspects of the crash, also of other instances, that have completed
 	// since.
 	Cleared map[Suspect]bool `json:"cleared,omitempty"`
 }
 
-// Weight of a crash as evidence, and the weight at which a suspect is quarantined: three crashes of upstreams
-// in good order. One that has just started may have crashed under its load.
+// Weight of a crash as evidence, and the weight at which a suspect is quarantined: three
+// crashes of upstreams in good order before its requests began to get answers.
 const (
-	warmWeight       = 2
-	coldWeight       = 1
+	warmWeight = 4
+	// coldWeight applies to an upstream that has just started and may have crashed under
+	// its load.
+	coldWeight = 2
+	// begunWeight applies to suspects whose answers had begun.
+	begunWeight      = 1
 	quarantineWeight = 3 * warmWeight
 )
 
-func (c *Crash) weight() int {
-	if c.Cold {
+// weight is the evidence of the crash against one of its suspects.
+func (c *Crash) weight(s Suspect) int {
+	switch {
+	case !c.NotBegun[s]:
+		return begunWeight
+	case c.Cold:
 		return coldWeight
+	default:
+		return warmWeight
 	}
-	return warmWeight
 }
 
 func (c *Crash) at() time.Time { return time.UnixMilli(c.AtMS) }
@@ -46,6 +58,7 @@
 		c.addSuspect(s, position)
 	}
 	maps.Copy(c.Cleared, o.Cleared)
+	maps.Copy(c.NotBegun, o.NotBegun)
 }
 
 // addSuspect adds a suspect unless the crash has maxSuspects. The lowest position counts.
@@ -62,8 +75,9 @@
 // clone returns a copy with maps of its own.
 func (c *Crash) clone() *Crash {
 	out := *c
-	out.Suspects, out.Cleared = make(map[Suspect]int, len(c.Suspects)), make(map[Suspect]bool, len(c.Cleared))
+	out.Suspects, out.Cleared, out.NotBegun = make(map[Suspect]int, len(c.Suspects)), make(map[Suspect]bool, len(c.Cleared)), make(map[Suspect]bool, len(c.NotBegun))
 	maps.Copy(out.Suspects, c.Suspects)
+	maps.Copy(out.NotBegun, c.NotBegun)
 	maps.Copy(out.Cleared, c.Cleared)
 	return &out
 }
@@ -79,3 +93,8 @@
 	// more than the upstreams that end while a harmful one is recognised again.
 	Retention = 10 * time.Minute
 )
+
+// durations are how long a suspect is refused after its last crash, by the number of its
+// crashes beyond those that quarantine it. Three crashes may be a coincidence, and a harmless
+// part can be cleared only by a request with it.
+var durations = []time.Duration{10 * time.Second, time.Minute, Retention}
--- a/internal/quarantine/fuzz_test.go
+++ b/internal/quarantine/fuzz_test.go
@@ -26,7 +26,7 @@
 			}
 		}
 		table := NewTable()
-		table.RecordCrash("u/1", false, request("d", "a", "b"))
+		table.RecordCrash("u/1", false, false, request("d", "a", "b"))
 		table.SetReport("other", r)
 		table.Restore(r)
 		table.RecordComplete(request("d", "a"))
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -29,6 +29,7 @@
 		maps.DeleteFunc(out.Suspects, func(s Suspect, _ int) bool {
 			return c.Cleared[s] || explained && t.evidence(s) <= warmWeight
 		})
+		maps.DeleteFunc(out.NotBegun, func(s Suspect, _ bool) bool { _, kept := out.Suspects[s]; return !kept })
 		// A clearance matters only to instances that report the suspect.
 		maps.DeleteFunc(out.Cleared, func(s Suspect, _ bool) bool { return !t.reportedByOthers(c.ID, s) })
 		if len(out.Suspects)+len(out.Cleared) > 0 {
@@ -60,6 +61,7 @@
 		}
 		valid := c.clone()
 		maps.DeleteFunc(valid.Suspects, func(s Suspect, position int) bool { return !s.valid() || position < 0 || position > maxParts })
+		maps.DeleteFunc(valid.NotBegun, func(s Suspect, notBegun bool) bool { _, known := valid.Suspects[s]; return !known || !notBegun })
 		maps.DeleteFunc(valid.Cleared, func(s Suspect, cleared bool) bool { return !s.valid() || !cleared })
 		out = append(out, *valid)
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -94,8 +94,9 @@
 func (t *Table) Changed() <-chan struct{} { return t.changed }
 
 // RecordCrash records that an upstream crashed while a request with these suspects ran
-// there. Requests that ran at the same upstream add to the same crash.
-func (t *Table) RecordCrash(id string, cold bool, suspects []Suspect) {
+// there; begun tells that its answer had begun. Requests that ran at the same upstream add to
+// the same crash.
+func (t *Table) RecordCrash(id string, cold, begun bool, suspects []Suspect) {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -103,6 +104,9 @@
 	c.Cold = c.Cold || cold
 	for position, s := range suspects {
 		c.addSuspect(s, position)
+		if _, ok := c.Suspects[s]; ok && !begun {
+			c.NotBegun[s] = true
+		}
 	}
 	if len(t.own) > maxCrashes {
 		t.merge(now)
@@ -155,7 +159,7 @@
 	w := 0
 	for _, c := range t.crashes {
 		if counts(c, s) {
-			w += c.weight()
+			w += c.weight(s)
 		}
 	}
 	return w
@@ -171,8 +175,8 @@
 		t.attribute(now)
 	}
 	for _, s := range suspects {
-		if last, quarantined := t.attribution.quarantined[s]; quarantined && now.Before(last.Add(Retention)) {
-			return s, last.Add(Retention), true
+		if until, quarantined := t.attribution.quarantined[s]; quarantined && now.Before(until) {
+			return s, until, true
 		}
 	}
 	return "", time.Time{}, false
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -66,10 +66,10 @@
 						}
 						crashes++
 						id := fmt.Sprint("u", crash)
-						tables[at].RecordCrash(id, false, bad)
+						tables[at].RecordCrash(id, false, false, bad)
 						for range r.IntN(8) {
 							n++
-							tables[r.IntN(3)].RecordCrash(id, false, sound(n))
+							tables[r.IntN(3)].RecordCrash(id, false, r.IntN(2) == 0, sound(n))
 						}
 						publish()
 						settle()
@@ -100,7 +100,7 @@
 		bad := request("bad", "first", "subject", "own")
 		for i := range 3 {
 			check.True(!quarantined(table, bad))
-			table.RecordCrash(fmt.Sprint("u", i), false, bad)
+			table.RecordCrash(fmt.Sprint("u", i), false, false, bad)
 			settle()
 		}
 		check.True(quarantined(table, bad))
@@ -119,7 +119,7 @@
 			table.RecordComplete(request(fmt.Sprint("s", i), "first", "part", fmt.Sprint("own", i)))
 		}
 		for i := range 4 {
-			table.RecordCrash(fmt.Sprint("u", i), false, request(fmt.Sprint("b", i), fmt.Sprint("first", i), "part", fmt.Sprint("x", i)))
+			table.RecordCrash(fmt.Sprint("u", i), false, false, request(fmt.Sprint("b", i), fmt.Sprint("first", i), "part", fmt.Sprint("x", i)))
 			time.Sleep(300 * time.Millisecond)
 		}
 		check.True(!quarantined(table, request("new", "first", "part", "y")))
@@ -135,7 +135,7 @@
 		check := is.New(t)
 		a, b := NewTable(), NewTable()
 		for i := range 3 {
-			a.RecordCrash(fmt.Sprint("u", i), false, request(fmt.Sprint("d", i), "f", "part"))
+			a.RecordCrash(fmt.Sprint("u", i), false, false, request(fmt.Sprint("d", i), "f", "part"))
 		}
 		b.SetReport("a", a.Report())
 		settle()
@@ -161,9 +161,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		check := is.New(t)
 		table := NewTable()
-		table.RecordCrash("u1", false, request("a", "first", "part"))
+		table.RecordCrash("u1", false, false, request("a", "first", "part"))
 		check.True(table.MayRetry(request("a", "first", "part")))
-		table.RecordCrash("u2", false, request("b", "first", "part"))
+		table.RecordCrash("u2", false, false, request("b", "first", "part"))
 		check.True(!table.MayRetry(request("b", "first", "part")))
 		check.True(table.MayRetry(request("c", "first", "other")))
 	})
@@ -177,7 +177,7 @@
 		table := NewTable()
 		for i := range 6 {
 			check.True(!quarantined(table, request("x", "f", "part")))
-			table.RecordCrash(fmt.Sprint("u", i), true, request(fmt.Sprint("d", i), "f", "part"))
+			table.RecordCrash(fmt.Sprint("u", i), true, false, request(fmt.Sprint("d", i), "f", "part"))
 			settle()
 		}
 		check.True(quarantined(table, request("x", "f", "part")))
@@ -191,7 +191,7 @@
 		check := is.New(t)
 		table := NewTable()
 		for i := range 3 {
-			table.RecordCrash(fmt.Sprint("u", i), false, request(fmt.Sprint("d", i), "f", "part"))
+			table.RecordCrash(fmt.Sprint("u", i), false, false, request(fmt.Sprint("d", i), "f", "part"))
 		}
 		restarted := NewTable()
 		restarted.Restore(table.Report())
@@ -211,18 +211,18 @@
 		check := is.New(t)
 		table := NewTable()
 		for i := range 3 {
-			table.RecordCrash(fmt.Sprint("bad", i), false, request(fmt.Sprint("d", i), "f", "part"))
+			table.RecordCrash(fmt.Sprint("bad", i), false, false, request(fmt.Sprint("d", i), "f", "part"))
 		}
 		settle()
 		check.True(quarantined(table, request("x", "f", "part")))
 		for i := range 3 * maxCrashes {
 			for j := range 8 {
-				table.RecordCrash(fmt.Sprint("u", i), false, request(fmt.Sprint(i, j), fmt.Sprint("p", i, j)))
+				table.RecordCrash(fmt.Sprint("u", i), false, false, request(fmt.Sprint(i, j), fmt.Sprint("p", i, j)))
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
 		for j := range 2 * maxSuspects {
-			table.RecordCrash("last", false, request(fmt.Sprint("l", j)))
+			table.RecordCrash("last", false, false, request(fmt.Sprint("l", j)))
 		}
 		report := table.Report()
 		check.Equal(len(report.Crashes), maxCrashes)
@@ -240,15 +240,58 @@
 		check := is.New(t)
 		table := NewTable()
 		check.True(!table.NearThreshold())
-		table.RecordCrash("u1", false, request("a", "first", "part"))
+		table.RecordCrash("u1", false, false, request("a", "first", "part"))
 		check.True(!table.NearThreshold())
-		table.RecordCrash("u2", false, request("b", "first", "part"))
+		table.RecordCrash("u2", false, false, request("b", "first", "part"))
 		check.True(table.NearThreshold())
 		time.Sleep(recentTime)
 		check.True(!table.NearThreshold())
-		table.RecordCrash("u3", false, request("c", "first", "part"))
+		table.RecordCrash("u3", false, false, request("c", "first", "part"))
 		check.True(table.NearThreshold())
 		table.RecordComplete(request("d", "first", "part"))
 		check.True(!table.NearThreshold())
 	})
 }
+
+// TestUnrelatedPartInAllCrashes guards against a part that is refused for long because
+// requests with it ran at every upstream that another part crashed, before any of them had
+// completed: a start of the fleet, or a fleet with few upstreams.
+func TestUnrelatedPartInAllCrashes(t *testing.T) {
+	for name, row := range map[string]struct {
+		// begun tells that the unrelated requests had begun to get answers.
+		begun bool
+		// completes tells that one completes meanwhile at another upstream.
+		completes bool
+	}{"answers begun": {true, false}, "one completes": {false, true}, "none completes": {false, false}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				check := is.New(t)
+				table := NewTable()
+				unrelated, bad := request("s", "first", "unrelated", "own"), request("b", "first", "bad", "own2")
+				for i := range 3 {
+					id := fmt.Sprint("u", i)
+					table.RecordCrash(id, false, false, request(fmt.Sprint("b", i), "first", "bad", fmt.Sprint("x", i)))
+					table.RecordCrash(id, false, row.begun, request(fmt.Sprint("s", i), "first", "unrelated", fmt.Sprint("y", i)))
+					time.Sleep(100 * time.Millisecond)
+				}
+				check.True(!quarantined(table, unrelated))
+				if row.completes {
+					table.RecordComplete(request("other", "first", "unrelated", "z"))
+				}
+				time.Sleep(settleTime)
+				check.True(quarantined(table, bad))
+				check.Equal(quarantined(table, unrelated), !row.begun && !row.completes)
+				time.Sleep(durations[0])
+				check.True(!quarantined(table, unrelated))
+				// A request with each is tried.
+				table.RecordComplete(unrelated)
+				table.RecordCrash("u3", false, false, bad)
+				settle()
+				check.True(quarantined(table, bad))
+				check.True(!quarantined(table, unrelated))
+				time.Sleep(durations[0])
+				check.True(quarantined(table, bad)) // for longer now
+			})
+		})
+	}
+}
