Test what a resumed stream tells about the crash of its second upstream

Cause: no test noticed when the events of an earlier attempt counted as those of the attempt that ended with a crash. Change: TestCrashBeforeTheResumedStreamBegins. Result: it fails with the total of events and passes with those of the attempt.

--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -77,3 +77,15 @@
 	check.Equal(logEntriesOfR1(env.logs, "stream interrupted")[0]["crashed"], false)
 	check.True(!env.gateway.Quarantine.Active())
 }
+
+// TestCrashBeforeTheResumedStreamBegins guards against taking a request for harmless that
+// crashes its second upstream before it gets an event there, because the first sent some.
+func TestCrashBeforeTheResumedStreamBegins(t *testing.T) {
+	check := is.New(t)
+	env := newEnv(t, chunkedStream(false, event1), crash(chunkedStream(false)))
+	_ = env.send("POST", "/resume/", "x", badPrompt)
+	env.waitIdle()
+	crashes := env.gateway.Quarantine.Report().Crashes
+	check.Equal(len(crashes), 1)
+	check.True(crashes[0].NotBegun["part/bad"])
+}
