Recognise a part in time if answers begin before the crash

Cause: with a quarter of the evidence for requests whose answers had begun, a part whose upstreams send the beginning of the answer and then crash would have cost twelve of them. Change: such requests are half of the evidence, so that six crashes suffice, for any part.

--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -31,21 +31,21 @@
 	// coldWeight applies to an upstream that has just started and may have crashed under
 	// its load.
 	coldWeight = 2
-	// begunWeight applies to suspects whose answers had begun.
-	begunWeight      = 1
+	// begunDivisor divides the weight for suspects whose answers had begun.
+	begunDivisor     = 2
 	quarantineWeight = 3 * warmWeight
 )
 
 // weight is the evidence of the crash against one of its suspects.
 func (c *Crash) weight(s Suspect) int {
-	switch {
-	case !c.NotBegun[s]:
-		return begunWeight
-	case c.Cold:
-		return coldWeight
-	default:
-		return warmWeight
+	w := warmWeight
+	if c.Cold {
+		w = coldWeight
 	}
+	if !c.NotBegun[s] {
+		w /= begunDivisor
+	}
+	return w
 }
 
 func (c *Crash) at() time.Time { return time.UnixMilli(c.AtMS) }
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -295,3 +295,18 @@
 		})
 	}
 }
+
+// TestAnswerBeginsBeforeTheCrash guards against a part that is not recognised because the
+// upstreams send the beginning of the answer before they crash.
+func TestAnswerBeginsBeforeTheCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		table := NewTable()
+		for i := range 6 {
+			check.True(!quarantined(table, request("x", "f", "part")))
+			table.RecordCrash(fmt.Sprint("u", i), false, true, request(fmt.Sprint("d", i), "f", "part"))
+			settle()
+		}
+		check.True(quarantined(table, request("x", "f", "part")))
+	})
+}
