Do not start an upstream of the soak twice after two crashes at once

A harmful request and an injected crash hit one upstream within its downtime; both started it again, and the first of the two stayed in the list for good although its address led to the other, which refused its models with 421. Change: an upstream that is down cannot crash; whoever crashed it starts it again. The check itself is unchanged.

--- a/bench/soak/fault_injector.go
+++ b/bench/soak/fault_injector.go
@@ -191,7 +191,10 @@
 // crashUpstream crashes an upstream and starts it again later. It removes
 // the crashed process from the upstream list after a separate random delay.
 func (f *faultInjector) crashUpstream(h *upstreamHost, r *rand.Rand) {
-	old := f.tb.crashUpstream(h)
+	old, ok := f.tb.crashUpstream(h)
+	if !ok {
+		return
+	}
 	deregisterDelay := randomDuration(r, minFaultDuration, maxFaultDuration)
 	f.undoLater(r, func() {
 		if err := f.tb.startUpstream(h); err != nil {
--- a/bench/soak/harmful.go
+++ b/bench/soak/harmful.go
@@ -74,7 +74,10 @@
 	if !current {
 		return
 	}
-	id := tb.crashUpstream(h)
+	id, ok := tb.crashUpstream(h)
+	if !ok {
+		return
+	}
 	tb.checker.recordHarm(time.Now())
 	time.AfterFunc(harmfulDowntime, func() {
 		tb.deregister(id)
--- a/bench/soak/testbed.go
+++ b/bench/soak/testbed.go
@@ -64,7 +64,8 @@
 	engine bool
 	link   *proxy
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// server is nil while the upstream is down.
 	server *http.Server
 	// startCount is part of the id, so that each start has a new one.
 	startCount int
@@ -212,14 +213,18 @@
 	return nil
 }
 
-// crashUpstream closes an upstream and all its connections, and returns its id.
-// The upstream stays registered.
-func (tb *testbed) crashUpstream(h *upstreamHost) string {
+// crashUpstream closes an upstream and all its connections, and returns its id, or false if
+// it is down already: whoever crashed it starts it again. The upstream stays registered.
+func (tb *testbed) crashUpstream(h *upstreamHost) (id string, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.server == nil {
+		return "", false
+	}
 	h.link.close()
 	_ = h.server.Close()
-	return h.id
+	h.server = nil
+	return h.id, true
 }
 
 // deregister removes a crashed upstream from the upstream list.
