--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -53,8 +53,7 @@
 }
 
 // afterCrash decides what follows an attempt that failed; c is nil if its upstream has not
-// crashed. A request that may be the cause
-// of crashes is not sent to a further upstream.
+// crashed. A request that may be the cause of crashes is not sent to a further upstream.
 func (r *request) afterCrash(c *crash) attemptResult {
 	if c == nil {
 		return retry
--- a/internal/managed/crash_reports.go
+++ b/internal/managed/crash_reports.go
@@ -36,7 +36,7 @@
 	crashCatchUpInterval = time.Second
 	crashReadRetry       = 400 * time.Millisecond
 	// crashReadyWait bounds how long a starting instance waits for the reports of others
-	// before it takes requests. Without the store it starts with what the others know.
+	// before it takes requests. Without the store it starts without them.
 	crashReadyWait = time.Second
 )
 
