Set the limits of a new host's client under a lock

The library runs the hook for each of several concurrent first calls. Change: the hook runs under a lock and writes the limit once. The tests of peer and dev pass with the detector.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
@@ -45,6 +46,7 @@
 // NewHTTPClient returns a hertz client with timeouts and connection limits. If
 // stream is set, response bodies are streamed instead of buffered and not limited.
 func NewHTTPClient(readTimeout time.Duration, stream bool) (*client.Client, error) {
+	var mu sync.Mutex
 	dialer := netpoll.NewDialer()
 	if !stream {
 		// A connection of netpoll reads ahead of its consumer without a limit.
@@ -52,7 +54,13 @@
 	}
 	hc, err := client.NewClient(
 		client.WithDialer(dialer),
-		client.WithHostClientConfigHook(func(hc any) error { return limitBody(hc, stream) }),
+		client.WithHostClientConfigHook(func(hc any) error {
+			// Concurrent first calls to a host run the hook on the same client, while it may
+			// serve one of them already.
+			mu.Lock()
+			defer mu.Unlock()
+			return limitBody(hc, stream)
+		}),
 		client.WithDialTimeout(dialTimeout),
 		client.WithClientReadTimeout(readTimeout),
 		client.WithWriteTimeout(writeTimeout),
@@ -69,7 +77,7 @@
 	if !ok {
 		return errors.Errorf("unexpected type %T of an HTTP client", hostClient)
 	}
-	if !stream {
+	if !stream && hc.MaxResponseBodySize != maxResponseBytes {
 		hc.MaxResponseBodySize = maxResponseBytes
 	}
 	return nil
