--- a/bench/soak/testbed.go
+++ b/bench/soak/testbed.go
@@ -58,22 +58,6 @@
 	signalMu sync.Mutex
 }
 
-// upstreamHost serves one upstream, which can crash and start again.
-type upstreamHost struct {
-	index  int
-	engine bool
-	link   *proxy
-
-	mu sync.Mutex
-	// server is nil while the upstream is down.
-	server *http.Server
-	// startCount is part of the id, so that each start has a new one.
-	startCount int
-	id         string
-	// engines holds the engine of every start.
-	engines []*platformtest.Engine
-}
-
 // testbed holds the processes, the store and the upstreams of a run, and the links
 // between them.
 type testbed struct {
