Count each crash fully against a request that ran there

A request under which three upstreams had crashed went on to up to nine more (TestCrashingRequestIsSentAgain, cells with cold=true and begun=true): a crash of a cold upstream counted half, and half again after the answer had begun, so that twelve were needed instead of three.

No request without blame runs at three upstreams that crash, unless it is sent on after each of them, and after two it is not.

--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -25,7 +25,7 @@
 }
 
 // Weight of a crash as evidence, and the weight at which a suspect is quarantined: three
-// crashes of upstreams in good order before its requests began to get answers.
+// crashes, for a part of upstreams in good order before its requests began to get answers.
 const (
 	warmWeight = 4
 	// coldWeight applies to an upstream that has just started and may have crashed under
@@ -36,8 +36,12 @@
 	quarantineWeight = 3 * warmWeight
 )
 
-// weight is the evidence of the crash against one of its suspects.
+// weight is the evidence of the crash against one of its suspects. What speaks for a part
+// does not speak for a request: few requests run at three upstreams that crash.
 func (c *Crash) weight(s Suspect) int {
+	if !s.isPart() {
+		return warmWeight
+	}
 	w := warmWeight
 	if c.Cold {
 		w = coldWeight
