Let one instance at a time try what a quarantine has refused

A request under which three upstreams had crashed reached four to nine more when its quarantine ended after 10 s: at that moment every instance let it through, again and again until reports of the next crash had arrived.

Cause: a quarantine ended by the clock, at all instances at once. Once its time is up, the instances take turns of 2 s, and each lets one request through in its turn until one completes; all others are refused until then. The turns need no coordination, only the order of the entry instances.

TestHarmlessPartIsRefusedAfterTrial checks that one completed request ends the refusal at all instances.

--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -57,6 +57,8 @@
 	exiting       context.Context
 	cancelExiting context.CancelFunc
 	crashChecks   crashChecks
+	// serials counts the requests.
+	serials atomic.Uint64
 }
 
 // New returns a gateway that refuses all requests until Update is called.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -30,7 +30,7 @@
 	if !r.g.Quarantine.Active() {
 		return false
 	}
-	suspect, until, ok := r.g.Quarantine.Check(r.suspects())
+	suspect, until, ok := r.g.Quarantine.Check(r.serial, r.suspects())
 	if !ok {
 		return false
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -17,9 +17,11 @@
 
 // request is the state of one caller's request while the gateway handles it.
 type request struct {
-	g     *Gateway
-	c     *app.RequestContext
-	start time.Time
+	g *Gateway
+	c *app.RequestContext
+	// serial tells the requests of this instance apart; callers choose their ids.
+	serial uint64
+	start  time.Time
 	// callerCtx is cancelled when the caller disconnects.
 	callerCtx context.Context
 	// deadline is the earlier of the caller's and the route's.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -24,7 +24,7 @@
 
 // Serve handles one request of a caller.
 func (g *Gateway) Serve(ctx context.Context, c *app.RequestContext) {
-	r := &request{g: g, c: c, start: time.Now(), callerCtx: ctx, writer: streamWriter{c: c}, buffers: bufferReservation{budget: g.buffers}}
+	r := &request{g: g, c: c, serial: g.serials.Add(1), start: time.Now(), callerCtx: ctx, writer: streamWriter{c: c}, buffers: bufferReservation{budget: g.buffers}}
 	defer r.recoverPanic()
 	r.readRequest()
 	r.waitUntilServing()
--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -111,7 +111,11 @@
 	})
 	e.follower = topicwatch.NewFollower(topicwatch.Options{
 		Source:   topicwatch.NewRelayedSource(e.store, e.entryClient, func(t topicwatch.Name, at time.Time) { e.follower.MarkStoreRead(t, at) }),
-		Fallback: e.entryClient, Decoder: platform.Decoder{}, Logger: e.logger, OnChange: e.gateway.Update,
+		Fallback: e.entryClient, Decoder: platform.Decoder{}, Logger: e.logger,
+		OnChange: func(v *fleet.View) {
+			crashes.SetInstances(v.EntryRank(s.Instance), v.EntryCount())
+			e.gateway.Update(v)
+		},
 	})
 	e.agentRelay = agentrelay.NewRelay(e.pool)
 	e.agentReader = agentrelay.NewReader(agentrelay.Options{
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -38,8 +38,10 @@
 
 func newCrashFleet(instances int) *crashFleet {
 	f := &crashFleet{}
-	for range instances {
-		f.tables = append(f.tables, NewTable())
+	for i := range instances {
+		t := NewTable()
+		t.SetInstances(i, instances)
+		f.tables = append(f.tables, t)
 	}
 	return f
 }
@@ -56,7 +58,7 @@
 	}
 	suspects := request(digest, "first", "harmful", "own"+digest)
 	table := f.tables[instance]
-	if quarantined(table, suspects) {
+	if _, _, refused := table.Check(uint64(n), suspects); refused {
 		return
 	}
 	f.mu.Lock()
@@ -129,3 +131,45 @@
 		}
 	}
 }
+
+// TestHarmlessPartIsRefusedAfterTrial guards against a part that goes on being refused, or is
+// let through by all instances at once, after a request with it has completed at one.
+func TestHarmlessPartIsRefusedAfterTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		f := newCrashFleet(4)
+		for i := range 3 {
+			f.tables[0].RecordCrash(fmt.Sprint("u", i), false, false, request(fmt.Sprint("b", i), "first", "harmless"))
+		}
+		publish := func() {
+			for i, from := range f.tables {
+				for j, to := range f.tables {
+					if i != j {
+						to.SetReport(fmt.Sprint("entry-", i), from.Report())
+					}
+				}
+			}
+			settle()
+		}
+		publish()
+		for _, table := range f.tables {
+			check.True(quarantined(table, request("s", "first", "harmless")))
+		}
+		time.Sleep(durations[0])
+		var admitted []int
+		for end := time.Now().Add(trialTurn); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			for i, table := range f.tables {
+				f.sent++
+				if _, _, refused := table.Check(uint64(100+f.sent), request("s", "first", "harmless")); !refused {
+					admitted = append(admitted, i)
+				}
+			}
+		}
+		check.True(len(admitted) >= 1 && len(admitted) <= 2) // one in each turn that began
+		f.tables[admitted[0]].RecordComplete(request("s", "first", "harmless"))
+		publish()
+		for _, table := range f.tables {
+			check.True(!quarantined(table, request("s2", "first", "harmless")))
+		}
+	})
+}
--- a/internal/quarantine/fuzz_test.go
+++ b/internal/quarantine/fuzz_test.go
@@ -30,7 +30,7 @@
 		table.SetReport("other", r)
 		table.Restore(r)
 		table.RecordComplete(request("d", "a"))
-		_, until, ok := table.Check(request("d", "a", "b"))
+		_, until, ok := table.Check(1, request("d", "a", "b"))
 		if ok && until.After(time.Now().Add(3*Retention)) {
 			t.Fatalf("refused until %s", until)
 		}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -35,6 +35,7 @@
 	mergedAt time.Time
 	// completed has the time at which requests with a part last completed here.
 	completed *simplelru.LRU[Suspect, time.Time]
+	trials    trials
 }
 
 const (
@@ -59,10 +60,18 @@
 	}
 	return &Table{
 		changed: make(chan struct{}, 1), own: make(map[string]*Crash), reports: make(map[string]Report),
-		crashes: make(map[string]*Crash), completed: completed,
+		crashes: make(map[string]*Crash), completed: completed, trials: newTrials(),
 	}
 }
 
+// SetInstances sets the position of this instance among the entry instances, and their
+// number.
+func (t *Table) SetInstances(rank, count int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.trials.rank, t.trials.count = int64(rank), int64(max(1, count))
+}
+
 // Active reports whether any crash is known.
 func (t *Table) Active() bool { return t.active.Load() }
 
@@ -166,18 +175,32 @@
 }
 
 // Check returns the quarantined one among the suspects of a request and until when it is
-// refused. ok is false if there is none.
-func (t *Table) Check(suspects []Suspect) (found Suspect, until time.Time, ok bool) {
+// refused. ok is false if there is none. Once the time of a suspect is up, only one request
+// in each turn of this instance is not refused, until one completes. serial tells the requests
+// of this instance apart.
+func (t *Table) Check(serial uint64, suspects []Suspect) (found Suspect, until time.Time, ok bool) {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now.Sub(t.attributedAt) >= attributionInterval {
 		t.attribute(now)
 	}
+	var turn []Suspect
 	for _, s := range suspects {
-		if until, quarantined := t.attribution.quarantined[s]; quarantined && now.Before(until) {
-			return s, until, true
+		until, quarantined := t.attribution.quarantined[s]
+		switch {
+		case !quarantined:
+			continue
+		case !now.Before(until) && t.trials.mayStart(s, serial, now):
+			turn = append(turn, s)
+			continue
+		case !now.Before(until):
+			until = t.trials.next(now)
 		}
+		return s, until, true
+	}
+	for _, s := range turn {
+		t.trials.start(s, serial, now)
 	}
 	return "", time.Time{}, false
 }
@@ -213,6 +236,7 @@
 		return
 	}
 	t.stale, t.attributedAt = false, now
+	t.trials.expire(now)
 	t.attribution = attribute(slices.Collect(maps.Values(t.crashes)), func(s Suspect) bool {
 		at, ok := t.completed.Peek(s)
 		return ok && now.Sub(at) < completionTime
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -20,7 +20,7 @@
 }
 
 func quarantined(t *Table, suspects []Suspect) bool {
-	_, _, ok := t.Check(suspects)
+	_, _, ok := t.Check(1, suspects)
 	return ok
 }
 
