Check again for a crash if the last check began before the connection broke

A crash stayed without a report if another connection to the same upstream had broken up to 300 ms before it, while the upstream was still there: the result of that check served the later failure too. A server that resets connections beyond its limit, or breaks off an answer now and then, so hides the crash after it.

TestCrashAfterBrokenConnection fails on the code before (no crash instead of u/1). Requests that fail together still share one new connection.

--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -42,35 +42,59 @@
 	cold bool
 }
 
-// run returns the result of check for the upstream, or that of one that began less than
-// crashCheckTTL ago. It returns nil if the upstream has not crashed, or if ctx ends first.
+// run returns the result of check for the upstream, or nil if ctx ends first. It uses the
+// result of another check that began less than crashCheckTTL ago, but an upstream that had
+// not crashed when a check began may have by now.
 func (c *crashChecks) run(ctx context.Context, upstreamID string, check func() *crash) *crash {
-	now := time.Now()
-	c.mu.Lock()
-	current, ok := c.checks[upstreamID]
-	if ok && now.Sub(current.started) < crashCheckTTL {
-		c.mu.Unlock()
+	failed := time.Now()
+	for {
+		current, own := c.begin(upstreamID, failed)
+		if own {
+			defer close(current.done)
+			current.crash = check()
+			return current.crash
+		}
 		select {
 		case <-current.done:
-			return current.crash
 		case <-ctx.Done():
 			return nil
 		}
+		if current.crash != nil || !current.started.Before(failed) {
+			return current.crash
+		}
 	}
-	if c.checks == nil {
-		c.checks = make(map[string]*crashCheck)
-	}
+}
+
+// begin returns a check whose result may serve a request that failed at failed, or a new one
+// that the caller has to run.
+func (c *crashChecks) begin(upstreamID string, failed time.Time) (current *crashCheck, own bool) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for id, old := range c.checks {
 		if now.Sub(old.started) >= crashCheckTTL {
 			delete(c.checks, id)
 		}
 	}
+	if current, ok := c.checks[upstreamID]; ok && !current.tooEarly(failed) {
+		return current, false
+	}
+	if c.checks == nil {
+		c.checks = make(map[string]*crashCheck)
+	}
 	current = &crashCheck{started: now, done: make(chan struct{})}
 	c.checks[upstreamID] = current
-	c.mu.Unlock()
-	defer close(current.done)
-	current.crash = check()
-	return current.crash
+	return current, true
+}
+
+// tooEarly reports whether the check ended without a crash and began before failed.
+func (c *crashCheck) tooEarly(failed time.Time) bool {
+	select {
+	case <-c.done:
+		return c.crash == nil && c.started.Before(failed)
+	default:
+		return false
+	}
 }
 
 // connectionEnded reports whether an exchange failed because the upstream ended the
