--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -30,6 +30,7 @@
 	id := choice.Upstream.ID
 	r.query.Tried[id] = true
 	r.eventsBefore = r.events.Events
+	r.crashFinding = "not checked"
 	r.upstreams = append(r.upstreams, id)
 	r.estimatedTTFT = choice.Delay
 	if r.firstSentAt.IsZero() {
--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -106,10 +106,15 @@
 // findCrash returns the crash of an upstream that made an exchange with it fail with err,
 // or nil. An upstream that is leaving ends without having crashed.
 func (r *request) findCrash(ctx context.Context, u *fleet.Upstream, err error) *crash {
-	if !connectionEnded(err) || r.g.Pool.Leaving(u.ID) {
+	switch {
+	case !connectionEnded(err):
+		r.crashFinding = "connection not ended by the upstream"
+		return nil
+	case r.g.Pool.Leaving(u.ID):
+		r.crashFinding = "upstream is leaving"
 		return nil
 	}
-	return r.g.crashChecks.run(ctx, u.ID, func() *crash {
+	found := r.g.crashChecks.run(ctx, u.ID, func() *crash {
 		cold := r.g.Pool.Cold(u.ID)
 		// The result serves other requests, so the check goes on if this caller leaves.
 		if !r.g.UpstreamClient.Refuses(context.WithoutCancel(ctx), u.Addr) {
@@ -117,6 +122,15 @@
 		}
 		return &crash{id: u.ID + "/" + strconv.FormatInt(u.StartedAtMS, 10), cold: cold}
 	})
+	switch {
+	case found != nil:
+		r.crashFinding = "crashed"
+	case ctx.Err() != nil:
+		r.crashFinding = "request ended before the check"
+	default:
+		r.crashFinding = "upstream does not refuse connections"
+	}
+	return found
 }
 
 // interruptionFields returns the log fields of an attempt that failed. If the request was
@@ -131,5 +145,5 @@
 	if crashed {
 		r.g.Stats.countAttempt("crashed")
 	}
-	return append(fields, zap.Bool("crashed", crashed), zap.Any("content", r.suspects()))
+	return append(fields, zap.Bool("crashed", crashed), zap.String("crash_check", r.crashFinding), zap.Any("content", r.suspects()))
 }
--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -58,6 +58,7 @@
 				check.Equal(entry["upstream"], "i-0")
 				check.True(entry["error"] != "")
 				check.Equal(entry["crashed"], false)
+				check.Equal(entry["crash_check"], "upstream does not refuse connections")
 			},
 		},
 		{
@@ -69,6 +70,7 @@
 			"stream_cut", "stream interrupted",
 			func(check *is.I, entry map[string]any) {
 				check.Equal(entry["crashed"], true)
+				check.Equal(entry["crash_check"], "crashed")
 				content := entry["content"].([]quarantine.Suspect)
 				check.Equal(content[:2], []quarantine.Suspect{"part/aa", "part/bb"})
 				check.Equal(len(content), 3)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -60,6 +60,8 @@
 	events eventstream.Splitter
 	// eventsBefore is how many events earlier attempts got.
 	eventsBefore int
+	// crashFinding is the result of the last check for a crash, for the log.
+	crashFinding string
 	// resumeAfter and weightsVersion are sent to the upstream that resumes a
 	// stream: the id of the last event that the caller got and the weights that
 	// produced it.
