Follow the crash reports like the other topics, in short reads through relays

An instance whose read of the crash reports had lost its answer learned nothing for 25 s, and went on sending a request that had crashed three upstreams until it had crashed one itself.

Cause: the reports had a reader of their own, which waited 25 s to save calls. It had none of what the reader of the other topics has: bounds on silence, relays, a fallback to other instances. The topic is now read by that one, with waits of 1.5 s by one relay for 16 instances, so the number of calls stays about the same.

NearThreshold decided when to read in addition; nothing needs it any more, so it goes with its test. What the test guarded is checked by TestCrashReportsAfterLostAnswer: reports within 3 s after any silence, and at most a read in 1.5 s while there is no crash.

--- a/internal/entryrpc/client.go
+++ b/internal/entryrpc/client.go
@@ -198,7 +198,11 @@
 	callCtx, cancel := context.WithTimeout(ctx, wait+relayReadMargin)
 	defer cancel()
 	var resp topicResponse
-	err := c.peers.Call(callCtx, m.Addr, pathTopic, topicRequest{Topic: t, Fresh: true, From: from, WaitMS: wait.Milliseconds()}, &resp)
+	req := topicRequest{Topic: t, Fresh: true, From: from, WaitMS: wait.Milliseconds()}
+	if t == topicwatch.Crashes {
+		req.MaxAgeMS = topicwatch.MaxCrashStaleness.Milliseconds()
+	}
+	err := c.peers.Call(callCtx, m.Addr, pathTopic, req, &resp)
 	if err != nil || !resp.Known {
 		c.markUnavailable(m.Addr)
 		return topicwatch.Page{}, false
--- a/internal/managed/crash_cluster_test.go
+++ b/internal/managed/crash_cluster_test.go
@@ -117,9 +117,22 @@
 	n := c.sent
 	c.mu.Unlock()
 	id := fmt.Sprintf("r%d", n)
+	return c.sendAs(entry, id, "prompt "+id, fmt.Sprintf("5a5a:10,%s:5,%x:3", part, n))
+}
+
+// sendAgain sends a request with the crashing part that is the same each time but for its id.
+func (c *crashCluster) sendAgain(entry int) platformtest.Response {
+	c.mu.Lock()
+	c.sent++
+	n := c.sent
+	c.mu.Unlock()
+	return c.sendAs(entry, fmt.Sprintf("r%d", n), "same", fmt.Sprintf("5a5a:10,%s:5,5a:3", crashingPart))
+}
+
+func (c *crashCluster) sendAs(entry int, id, body, prompt string) platformtest.Response {
 	return platformtest.Send(context.Background(), &http.Transport{DisableKeepAlives: true}, c.entries[entry].CallerAddr, platformtest.Request{
-		ID: id, Method: http.MethodPost, Host: "h.example", Path: "/s/x", Key: "key", Model: "m1", Body: "prompt " + id,
-		Prompt: fmt.Sprintf("5a5a:10,%s:5,%x:3", part, n), TokensIn: 5, TokensOut: 5, Deadline: 2 * time.Second,
+		ID: id, Method: http.MethodPost, Host: "h.example", Path: "/s/x", Key: "key", Model: "m1", Body: body,
+		Prompt: prompt, TokensIn: 5, TokensOut: 5, Deadline: 2 * time.Second,
 	})
 }
 
--- a/internal/managed/crash_reports.go
+++ b/internal/managed/crash_reports.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/jacinthbend/jacinthbend/internal/quarantine"
@@ -19,22 +18,12 @@
 	// crashReportDelay is how long after a crash an instance reports it. The requests at
 	// an upstream that crashes fail within milliseconds, so that one report covers them.
 	crashReportDelay = 60 * time.Millisecond
-	// crashReadWait is how long a read waits for reports of others, below the store's
-	// limit of 30 s. Crashes are rare, so that a long wait saves calls.
-	crashReadWait = 25 * time.Second
-	// crashReadInterval is the minimum time between the starts of two reads. All instances
-	// may have a report on one crash, and each report ends the waiting reads of all others.
-	crashReadInterval = 150 * time.Millisecond
-	// instancesAtFullRate is the number of entry instances up to which these two apply.
-	// With more, they grow in proportion, at most by the factor maxCrashSlowdown: a
+	// instancesAtFullRate is the number of entry instances up to which this delay applies.
+	// With more, it grows in proportion, at most by the factor maxCrashSlowdown: a
 	// quarantine must spread within the platform's shortest time of contact, 3 s.
 	instancesAtFullRate = 16
 	maxCrashSlowdown    = 6.0
-	// crashCatchUpInterval is how often reports are read in addition while something is
-	// about to be quarantined or was lately. A connection that has gone silent blocks a
-	// waiting read for crashReadWait.
-	crashCatchUpInterval = time.Second
-	crashReadRetry       = 400 * time.Millisecond
+	crashReportRetry    = 400 * time.Millisecond
 	// crashReadyWait bounds how long a starting instance waits for the reports of others
 	// before it takes requests. Without the store it starts without them.
 	crashReadyWait = time.Second
@@ -50,18 +39,12 @@
 	// entries returns the number of entry instances.
 	entries func() int
 	// listed is closed once the reports have been listed.
-	listed chan struct{}
-
-	mu sync.Mutex
-	// next is the offset of the first record that has not been read, and readAt when the
-	// store last answered a read.
-	next   int64
-	readAt time.Time
+	listed     chan struct{}
+	closeFirst sync.Once
 }
 
 // crashStore is the part of the platform's store that crashReports uses.
 type crashStore interface {
-	topicwatch.Source
 	Put(ctx context.Context, t topicwatch.Name, key string, value []byte) (int64, error)
 }
 
@@ -87,87 +70,14 @@
 	}
 }
 
-// follow reads the reports until ctx ends.
-func (c *crashReports) follow(ctx context.Context) {
-	failing, listed := false, false
-	for ctx.Err() == nil {
-		var err error
-		start := time.Now()
-		if !listed {
-			err = c.list(ctx)
-		} else {
-			err = c.read(ctx, crashReadWait)
-		}
-		if err == nil && !listed {
-			listed = true
-			close(c.listed)
-		}
-		if err != nil && ctx.Err() == nil {
-			if !failing {
-				c.logger.Warn("crash reports cannot be read, retrying", telemetry.Err(err))
-			}
-			sleep(ctx, crashReadRetry)
-		}
-		failing = err != nil
-		sleep(ctx, max(0, c.scaled(crashReadInterval)-time.Since(start)))
-	}
-}
-
-// catchUp reads the reports at short intervals while it matters.
-func (c *crashReports) catchUp(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, crashCatchUpInterval)
-		if c.table.NearThreshold() {
-			c.readNow(ctx)
-		}
-	}
-}
-
-// readNow reads the reports, unless the store has just answered a read.
-func (c *crashReports) readNow(ctx context.Context) {
-	c.mu.Lock()
-	current := time.Since(c.readAt) < crashCatchUpInterval
-	c.mu.Unlock()
-	if current {
+// apply passes reports of other instances, and of earlier starts of this one, to the table.
+func (c *crashReports) apply(t topicwatch.Name, items []topicwatch.Item) {
+	if t != topicwatch.Crashes {
 		return
 	}
-	if err := c.read(ctx, 0); err != nil && ctx.Err() == nil {
-		c.logger.Debug("crash reports cannot be read", telemetry.Err(err))
-	}
-}
-
-func (c *crashReports) list(ctx context.Context) error {
-	page, err := c.store.List(ctx, topicwatch.Crashes)
-	if err != nil {
-		return err
-	}
-	c.apply(page)
-	return nil
-}
-
-func (c *crashReports) read(ctx context.Context, wait time.Duration) error {
-	c.mu.Lock()
-	next := c.next
-	c.mu.Unlock()
-	page, err := c.store.Read(ctx, topicwatch.Crashes, next, wait)
-	if errors.Is(err, topicwatch.ErrExpired) {
-		return c.list(ctx)
-	}
-	if err != nil {
-		return err
-	}
-	c.apply(page)
-	return nil
-}
-
-// apply passes the reports on to the table. Two reads may return the same records; the
-// older page changes nothing.
-func (c *crashReports) apply(page topicwatch.Page) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, it := range page.Items {
+	for _, it := range items {
 		var r quarantine.Report
-		if it.Offset < c.next || it.Key == "" {
+		if it.Key == "" {
 			continue
 		}
 		if len(it.Value) > 0 {
@@ -183,10 +93,10 @@
 		}
 		c.table.SetReport(it.Key, r)
 	}
-	c.next, c.readAt = max(c.next, page.Next), time.Now()
-	if n := c.table.Quarantined(); n > 0 && len(page.Items) > 0 {
-		c.logger.Info("crash reports read", zap.Int("reports", len(page.Items)), zap.Int("quarantined", n))
+	if n := c.table.Quarantined(); n > 0 && len(items) > 0 {
+		c.logger.Info("crash reports read", zap.Int("reports", len(items)), zap.Int("quarantined", n))
 	}
+	c.closeFirst.Do(func() { close(c.listed) })
 }
 
 // publish writes this instance's report whenever it has changed, until ctx ends. It does
@@ -215,8 +125,7 @@
 				break
 			}
 			c.logger.Warn("cannot write crash report, retrying", telemetry.Err(err))
-			sleep(ctx, crashReadRetry)
+			sleep(ctx, crashReportRetry)
 		}
-		c.readNow(ctx)
 	}
 }
--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -61,10 +61,8 @@
 	e.restoreQuotaUsage(ctx)
 	p.run(jobs, "write checkpoints", e.writeCheckpoints)
 	p.run(jobs, "follow topics", func(ctx context.Context) {
-		e.follower.Run(ctx, topicwatch.Operators, topicwatch.Upstreams, topicwatch.Members)
+		e.follower.Run(ctx, topicwatch.Operators, topicwatch.Upstreams, topicwatch.Members, topicwatch.Crashes)
 	})
-	p.run(jobs, "read crash reports", e.crashReports.follow)
-	p.run(jobs, "catch up on crash reports", e.crashReports.catchUp)
 	p.run(jobs, "write crash reports", e.crashReports.publish)
 	p.run(jobs, "watch agents", e.agentWatcher.Run)
 	p.run(jobs, "read agent states", e.agentReader.Run)
@@ -111,7 +109,7 @@
 	})
 	e.follower = topicwatch.NewFollower(topicwatch.Options{
 		Source:   topicwatch.NewRelayedSource(e.store, e.entryClient, func(t topicwatch.Name, at time.Time) { e.follower.MarkStoreRead(t, at) }),
-		Fallback: e.entryClient, Decoder: platform.Decoder{}, Logger: e.logger,
+		Fallback: e.entryClient, Decoder: platform.Decoder{}, Logger: e.logger, OnRecords: e.crashReports.apply,
 		OnChange: func(v *fleet.View) {
 			crashes.SetInstances(v.EntryRank(s.Instance), v.EntryCount())
 			e.gateway.Update(v)
--- a/internal/managed/prompt_crash_test.go
+++ b/internal/managed/prompt_crash_test.go
@@ -79,3 +79,29 @@
 	arrivals, _ = c.history()
 	check.Equal(len(arrivals), before)
 }
+
+// TestLostCrashReport guards against instances that go on sending a request which has crashed
+// three engines, since the answers with the reports of the crashes were lost.
+func TestLostCrashReport(t *testing.T) {
+	check := is.New(t)
+	const instances = 6
+	c := newCrashCluster(t, instances, 8)
+	// Every instance that reads the reports waits for new ones by then.
+	<-time.After(500 * time.Millisecond)
+	c.store.LoseAnswers(platformtest.CrashTopic)
+	c.eventually("three engines crashed", func() bool {
+		c.sendAgain(0)
+		_, crashes := c.history()
+		return len(crashes) >= 3
+	})
+	before, _ := c.history()
+	<-time.After(contactTime)
+	for range 2 {
+		for entry := 1; entry < instances; entry++ {
+			c.sendAgain(entry)
+		}
+	}
+	arrivals, _ := c.history()
+	t.Logf("%d requests arrived later than %s after the third crash", len(arrivals)-len(before), contactTime)
+	check.True(len(arrivals)-len(before) <= 3)
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -46,8 +46,6 @@
 	// attributionInterval is how old the attribution may be that Check uses. All requests at an
 	// upstream that crashes add evidence at the same time.
 	attributionInterval = 20 * time.Millisecond
-	// recentTime is how long after a crash others may report more of the same cause.
-	recentTime = 20 * time.Second
 	// expiryInterval is how often old crashes are dropped at least.
 	expiryInterval = time.Minute
 )
@@ -75,30 +73,6 @@
 // Active reports whether any crash is known.
 func (t *Table) Active() bool { return t.active.Load() }
 
-// NearThreshold reports whether one more crash would quarantine something, or something was
-// quarantined, for a crash within recentTime.
-func (t *Table) NearThreshold() bool {
-	if !t.Active() {
-		return false
-	}
-	now := time.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.attribute(now)
-	for _, c := range t.crashes {
-		if now.Sub(c.at()) >= recentTime {
-			continue
-		}
-		for s := range c.Suspects {
-			_, quarantined := t.attribution.quarantined[s]
-			if counts(c, s) && (quarantined || t.attribution.weights[s] >= quarantineWeight-warmWeight) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // Changed receives a value when Report should be published.
 func (t *Table) Changed() <-chan struct{} { return t.changed }
 
@@ -218,7 +192,7 @@
 	})
 }
 
-// Convicted returns how many suspects are quarantined.
+// Quarantined returns how many suspects are quarantined.
 func (t *Table) Quarantined() int {
 	now := time.Now()
 	t.mu.Lock()
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -233,26 +233,6 @@
 	})
 }
 
-// TestNearThreshold guards against instances that read the reports of others all the time after an
-// ordinary crash, and against ones that do not when a quarantine is near.
-func TestNearThreshold(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		check := is.New(t)
-		table := NewTable()
-		check.True(!table.NearThreshold())
-		table.RecordCrash("u1", false, false, request("a", "first", "part"))
-		check.True(!table.NearThreshold())
-		table.RecordCrash("u2", false, false, request("b", "first", "part"))
-		check.True(table.NearThreshold())
-		time.Sleep(recentTime)
-		check.True(!table.NearThreshold())
-		table.RecordCrash("u3", false, false, request("c", "first", "part"))
-		check.True(table.NearThreshold())
-		table.RecordComplete(request("d", "first", "part"))
-		check.True(!table.NearThreshold())
-	})
-}
-
 // TestUnrelatedPartInAllCrashes guards against a part that is refused for long because
 // requests with it ran at every upstream that another part crashed, before any of them had
 // completed: a start of the fleet, or a fleet with few upstreams.
--- a/internal/topicwatch/follower.go
+++ b/internal/topicwatch/follower.go
@@ -21,6 +21,7 @@
 	decoder          Decoder
 	logger           *zap.Logger
 	onChange         func(*fleet.View)
+	onRecords        func(t Name, items []Item)
 	longOperatorWait bool
 
 	view atomic.Pointer[fleet.View]
@@ -52,15 +53,18 @@
 	LongOperatorWait bool
 	// OnChange is called with each new view, one call at a time.
 	OnChange func(*fleet.View)
+	// OnRecords is called with the records of each answer for a topic that is no part of the
+	// view, one call at a time; it may be nil. The first answer may have none.
+	OnRecords func(t Name, items []Item)
 }
 
 // NewFollower returns a follower without records; Run reads them.
 func NewFollower(o Options) *Follower {
 	f := &Follower{
-		source: o.Source, fallback: o.Fallback, decoder: o.Decoder, logger: o.Logger, onChange: o.OnChange, longOperatorWait: o.LongOperatorWait,
+		source: o.Source, fallback: o.Fallback, decoder: o.Decoder, logger: o.Logger, onChange: o.OnChange, onRecords: o.OnRecords, longOperatorWait: o.LongOperatorWait,
 		states: make(map[Name]*state), decoded: make(map[Name]map[string]decodedItem),
 	}
-	for _, t := range []Name{Operators, Upstreams, Members} {
+	for _, t := range []Name{Operators, Upstreams, Members, Crashes} {
 		f.states[t] = newState(t)
 		f.decoded[t] = make(map[string]decodedItem)
 	}
@@ -68,11 +72,11 @@
 }
 
 // View returns the newest view, or nil until a configuration is known and every
-// topic has been listed once.
+// topic of the view has been listed once.
 func (f *Follower) View() *fleet.View { return f.view.Load() }
 
 // Run reads the topics until ctx ends. It publishes no view before it has listed
-// each of them.
+// each of them that is part of it.
 func (f *Follower) Run(ctx context.Context, topics ...Name) {
 	f.mu.Lock()
 	f.topics = topics
@@ -93,6 +97,8 @@
 		return operatorSchedule
 	case Upstreams:
 		return upstreamSchedule
+	case Crashes:
+		return crashSchedule
 	default:
 		return memberSchedule
 	}
@@ -223,15 +229,29 @@
 	if changed || first {
 		close(s.changed)
 		s.changed = make(chan struct{})
+	}
+	switch {
+	case !inView(t):
+		if f.onRecords != nil && (first || len(page.Items) > 0) {
+			f.onRecords(t, page.Items)
+		}
+	case changed || first:
 		f.publishView()
 	}
 }
 
+// inView reports whether the records of a topic are part of the view.
+func inView(t Name) bool { return t != Crashes }
+
 // MaxStaleness is how long after the last answer of the store an instance may
 // serve reads of other entry instances: slightly longer than the interval between
 // two reads of the upstreams topic.
 const MaxStaleness = 800 * time.Millisecond
 
+// MaxCrashStaleness is MaxStaleness for the topic of crash reports, which is read by long
+// polls.
+const MaxCrashStaleness = 2500 * time.Millisecond
+
 // ReadLocal serves a read of another instance from the follower's own records. It
 // returns false unless the store confirmed them within maxAge and all records from
 // offset from on are known.
@@ -294,7 +314,7 @@
 	}
 	v.Config = f.config
 	for _, t := range f.topics {
-		if f.states[t].next < 0 {
+		if inView(t) && f.states[t].next < 0 {
 			return
 		}
 	}
--- a/internal/topicwatch/follower_test.go
+++ b/internal/topicwatch/follower_test.go
@@ -381,3 +381,48 @@
 		check.True(ok) // it may come back within 2 s of the store's return
 	})
 }
+
+// TestCrashReportsAfterLostAnswer guards against reports of crashes that an instance learns
+// later than the platform's shortest time of contact after the connection of its read has gone
+// silent, and against reading them all the time while there are none.
+func TestCrashReportsAfterLostAnswer(t *testing.T) {
+	const contactTime = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		store := newFakeStore()
+		var mu sync.Mutex
+		var got []string
+		last := func() string { mu.Lock(); defer mu.Unlock(); return got[len(got)-1] }
+		first := make(chan struct{})
+		fo := NewFollower(Options{Source: store, Decoder: textDecoder{}, Logger: zap.NewNop(), OnRecords: func(topic Name, items []Item) {
+			check.Equal(topic, Crashes)
+			mu.Lock()
+			defer mu.Unlock()
+			if got == nil {
+				got = []string{}
+				close(first)
+			}
+			for _, it := range items {
+				got = append(got, it.Key+"="+string(it.Value))
+			}
+		}})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { fo.Run(ctx, Crashes); close(done) }()
+		<-first // also if there are no records
+		const quiet = time.Minute
+		before := store.readCount(Crashes)
+		time.Sleep(quiet)
+		check.True(store.readCount(Crashes)-before <= int(quiet/crashSchedule.MaxWait)+1)
+		for i := range 10 {
+			store.setHanging(true)
+			time.Sleep(time.Duration(i) * 200 * time.Millisecond)
+			store.setHanging(false)
+			store.put(Crashes, "entry-1", strconv.Itoa(i))
+			time.Sleep(contactTime)
+			check.Equal(last(), "entry-1="+strconv.Itoa(i))
+		}
+		cancel()
+		<-done
+	})
+}
--- a/internal/topicwatch/poll_schedule.go
+++ b/internal/topicwatch/poll_schedule.go
@@ -19,6 +19,10 @@
 	upstreamSchedule = PollSchedule{Interval: 600 * time.Millisecond}
 	// Processes start in groups, so an interval lets one read return many members.
 	memberSchedule = PollSchedule{MaxWait: 12 * time.Second, Interval: 1500 * time.Millisecond}
+	// Crashes are rare. A connection on which an answer is lost goes silent, which a read
+	// notices only after its whole wait: together with the timeout of a call it is shorter
+	// than the platform's shortest time of contact, 3 s. All instances may report one crash.
+	crashSchedule = PollSchedule{MaxWait: 1500 * time.Millisecond, Interval: 150 * time.Millisecond}
 	// Agents use only the model sizes of the configuration, not the API keys, so they
 	// can learn of a change later and their reads may wait longer.
 	agentOperatorSchedule = PollSchedule{MaxWait: 20 * time.Second}
--- a/internal/topicwatch/relayed_source.go
+++ b/internal/topicwatch/relayed_source.go
@@ -21,7 +21,7 @@
 // the interval of upstreamSchedule, so the next read starts soon after one ends.
 const relayWait = 550 * time.Millisecond
 
-// RelayedSource reads the upstreams and operators topics from the relay while the
+// RelayedSource reads the upstreams, operators and crashes topics from the relay while the
 // relay's records are fresh, and from the store otherwise. Calls to the store cost
 // money, and without relays every instance would read the same records. A relay's own
 // reads of the store wait for at most relayWait, so that it notices soon that it is cut
@@ -51,8 +51,12 @@
 
 // Read implements Source.
 func (r *RelayedSource) Read(ctx context.Context, t Name, from int64, wait time.Duration) (Page, error) {
-	if t == Upstreams || t == Operators {
-		if page, ok := r.relay.ReadFromRelay(ctx, t, from, relayWait); ok {
+	if t != Members {
+		atRelay := relayWait
+		if t == Crashes {
+			atRelay = wait
+		}
+		if page, ok := r.relay.ReadFromRelay(ctx, t, from, atRelay); ok {
 			r.onStoreRead(t, time.Now().Add(-time.Duration(page.AgeMS)*time.Millisecond))
 			return page, nil
 		}
