Recognise a request that is sent again with other ids of its prompt's parts

The platform promises that a request which crashes upstreams comes again with the same path, caller and body. Our digest also contained the ids of the prompt's parts, which the caller chooses: one that changed made each attempt another suspect, so that only its shared parts, which completions of others clear, were left.

The ids count only if there is no body. TestSameRequestWithAnotherPrompt failed before.

--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -46,7 +46,8 @@
 	return append(out, Suspect(requestPrefix+r.Digest()))
 }
 
-// Digest returns a hash of the request's content in hexadecimal.
+// Digest returns a hash of the request's content in hexadecimal. The parts of the prompt say
+// what the body contains, but the caller chooses their ids, so they count only without a body.
 func (r Identity) Digest() string {
 	h := xxhash.New()
 	for _, s := range []string{r.Team, r.Method, r.Host, r.URI} {
@@ -54,8 +55,10 @@
 		_, _ = h.WriteString(s + "\x00")
 	}
 	_, _ = h.Write(r.Body)
-	for _, p := range r.Prompt {
-		_, _ = h.WriteString(p.ID + "\x00")
+	if len(r.Body) == 0 {
+		for _, p := range r.Prompt {
+			_, _ = h.WriteString(p.ID + "\x00")
+		}
 	}
 	return strconv.FormatUint(h.Sum64(), 16)
 }
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/jacinthbend/jacinthbend/internal/fleet"
 )
 
 // request returns the suspects of a request with these parts and a digest of its own.
@@ -290,3 +292,16 @@
 		check.True(quarantined(table, request("x", "f", "part")))
 	})
 }
+
+// TestSameRequestWithAnotherPrompt guards against a request that its caller sends again and
+// that counts as another one because the ids of its prompt's parts have changed.
+func TestSameRequestWithAnotherPrompt(t *testing.T) {
+	check := is.New(t)
+	sent := func(body, own string) Identity {
+		return Identity{Team: "blue", Method: "POST", Host: "h", URI: "/s/x", Body: []byte(body), Prompt: []fleet.PromptPart{{ID: "first"}, {ID: own}}}
+	}
+	check.Equal(sent("hello", "a1").Digest(), sent("hello", "a2").Digest())
+	check.True(sent("hello", "a1").Digest() != sent("hello there", "a1").Digest())
+	// Without a body only the prompt tells requests apart.
+	check.True(sent("", "a1").Digest() != sent("", "a2").Digest())
+}
