Send nothing to an upstream that says in an answer that it leaves

An upstream that leaves says so in all its answers (Server-Leaving: 1). The header was not read: an instance went on sending requests until the store's list said that the upstream was draining, so for as long as the store was away, and passed the header on to callers.

What an upstream said is now kept with its start in the pool. It survives an entry that lapses and comes back, and ends with another start under the same id. A crash check takes such an upstream for one that leaves.

--- a/internal/fleet/response_attributes.go
+++ b/internal/fleet/response_attributes.go
@@ -26,6 +26,8 @@
 	// RateLimit is how many requests a second the upstream takes from all instances
 	// together, at least MinRateLimit; 0 means that it names no limit.
 	RateLimit float64
+	// Leaving tells that the upstream is about to end.
+	Leaving bool
 	// KeepAlive is the idle timeout of the upstream's connections; 0 is unknown.
 	KeepAlive time.Duration
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,6 +54,9 @@
 		r.g.Logger.Info("upstream changed its rate limit", r.requestIDField(), zap.String("upstream", id),
 			zap.Float64("per_second", attrs.RateLimit), zap.Float64("before", before))
 	}
+	if ticket.Announced(resp.Status, attrs) {
+		r.g.Logger.Info("upstream says that it leaves", r.requestIDField(), zap.String("upstream", id))
+	}
 	if attrs.NotExecuted || resp.Status == http.StatusMisdirectedRequest {
 		return r.notExecuted(choice, ticket, resp, attrs)
 	}
--- a/internal/upstream/leaving.go
+++ b/internal/upstream/leaving.go
@@ -20,5 +20,5 @@
 	if !ok || p.view.Upstreams[upstreamID] == nil {
 		return true
 	}
-	return s.upstream.Draining || s.agent != nil && s.hasAgentState(now) && s.agent.Draining
+	return s.upstream.Draining || !s.said.leavingSince.IsZero() || s.agent != nil && s.hasAgentState(now) && s.agent.Draining
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -92,7 +92,7 @@
 		}
 	}
 	for id, s := range p.states {
-		if _, ok := v.Upstreams[id]; !ok && s.inFlight == 0 {
+		if _, ok := v.Upstreams[id]; !ok && s.inFlight == 0 && !s.said.inForce(now) {
 			p.index.remove(s)
 			delete(p.states, id)
 		}
@@ -222,7 +222,7 @@
 	if s.machineUnresponsive() || s.engineUnresponsive(now) || s.replaced(now) || p.newestByAddr[s.upstream.Addr] != s.upstream.ID {
 		return false
 	}
-	return !s.upstream.Draining && !p.view.Evacuated[s.upstream.DataCentre] && !now.Before(s.health.ejectedUntil) &&
+	return !s.upstream.Draining && s.said.leavingSince.IsZero() && !p.view.Evacuated[s.upstream.DataCentre] && !now.Before(s.health.ejectedUntil) &&
 		(s.agent == nil || !s.hasAgentState(now) || !s.agent.Draining)
 }
 
--- a/internal/upstream/state.go
+++ b/internal/upstream/state.go
@@ -55,6 +55,7 @@
 	// none, as of headerLimitAt.
 	headerLimit   float64
 	headerLimitAt time.Time
+	said          announcements
 }
 
 // usage is this instance's use of one model or adapter of an upstream.
