Send nothing to an upstream for the time that it names with 503

An upstream that turns a request away with 503 may name in Retry-After for how long it wants nothing from this instance. The header was not read: new requests and retries went on, which is what keeps a busy upstream busy.

The pool keeps the longest time that the upstream's start has named and treats it like a rate limit without room: other upstreams are chosen, and if there is none the caller waits or is refused at once with the shortest time. Numbers with fractions and dates are understood, anything else and times in the past are ignored, and ten minutes is the most, so that a wrong value does not take an upstream out of use for good. A 503 with Retry-After no longer counts as a sign that the model is not loaded there.

--- a/internal/fleet/response_attributes.go
+++ b/internal/fleet/response_attributes.go
@@ -28,10 +28,17 @@
 	RateLimit float64
 	// Leaving tells that the upstream is about to end.
 	Leaving bool
+	// RetryAfter is how long the upstream wants nothing from this instance, if the status is
+	// 503; 0 means that it does not say.
+	RetryAfter time.Duration
 	// KeepAlive is the idle timeout of the upstream's connections; 0 is unknown.
 	KeepAlive time.Duration
 }
 
+// MaxRetryAfter is the longest ResponseAttributes.RetryAfter: a value that is wrong must not
+// take an upstream out of use for good.
+const MaxRetryAfter = 10 * time.Minute
+
 // ForwardAttributes are the values that the system adds to the header of a request
 // that it forwards.
 type ForwardAttributes struct {
--- a/internal/gateway/announcement_test.go
+++ b/internal/gateway/announcement_test.go
@@ -3,7 +3,9 @@
 import (
 	"maps"
 	"net"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -66,3 +68,68 @@
 		})
 	}
 }
+
+// TestRequestSentDuringRetryAfter guards against requests, new ones and retries, that are sent to
+// an upstream after it has turned one away and named the time for which it wants nothing, also
+// if another answer names a shorter time, and against callers that are held or get a refusal
+// without that time if there is no other upstream.
+func TestRequestSentDuringRetryAfter(t *testing.T) {
+	const pause = 700 * time.Millisecond
+	for name, others := range map[string][]script{"with another upstream": {respond(200, "b")}, "alone": nil} {
+		for _, run := range []string{"Jacinthbend-Not-Executed: 1", "X-Other: 1"} {
+			t.Run(name+"/"+run, func(t *testing.T) {
+				check := is.New(t)
+				var mu sync.Mutex
+				var first time.Time
+				answers := 0
+				turnAway := func(c net.Conn, req receivedRequest) bool {
+					mu.Lock()
+					defer mu.Unlock()
+					retryAfter := "0.7"
+					if answers++; answers > 1 {
+						retryAfter = "0.01"
+					} else {
+						first = time.Now()
+					}
+					return respond(503, "", run, "Retry-After: "+retryAfter)(c, req)
+				}
+				env := newEnv(t, append([]script{turnAway}, others...)...)
+				late := 0
+				for time.Since(env.firstAnswer(&mu, &first)) < pause+200*time.Millisecond {
+					resp := env.send("POST", "/safe/", "x", "Jacinthbend-Deadline-Ms: 400")
+					if others != nil {
+						check.Equal(resp.status, 200)
+					} else if resp.status == 503 {
+						check.True(resp.header.Get("Retry-After") != "")
+					}
+					mu.Lock()
+					if time.Since(first) < pause {
+						late = answers - 1
+					}
+					mu.Unlock()
+					time.Sleep(5 * time.Millisecond)
+				}
+				check.Equal(late, 0)
+				if others != nil {
+					return // the other one is as good
+				}
+				env.eventually("a request after the pause", func() bool {
+					env.send("POST", "/safe/", "x", "Jacinthbend-Deadline-Ms: 400")
+					mu.Lock()
+					defer mu.Unlock()
+					return answers > 1
+				})
+			})
+		}
+	}
+}
+
+// firstAnswer returns when the first answer was given, or now if none was.
+func (env *testEnv) firstAnswer(mu *sync.Mutex, first *time.Time) time.Time {
+	mu.Lock()
+	defer mu.Unlock()
+	if first.IsZero() {
+		return time.Now()
+	}
+	return *first
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,9 +54,13 @@
 		r.g.Logger.Info("upstream changed its rate limit", r.requestIDField(), zap.String("upstream", id),
 			zap.Float64("per_second", attrs.RateLimit), zap.Float64("before", before))
 	}
-	if ticket.Announced(resp.Status, attrs) {
+	leaves, pause := ticket.Announced(resp.Status, attrs)
+	if leaves {
 		r.g.Logger.Info("upstream says that it leaves", r.requestIDField(), zap.String("upstream", id))
 	}
+	if pause > 0 {
+		r.g.Logger.Info("upstream wants no requests for a while", r.requestIDField(), zap.String("upstream", id), zap.Duration("pause", pause))
+	}
 	if attrs.NotExecuted || resp.Status == http.StatusMisdirectedRequest {
 		return r.notExecuted(choice, ticket, resp, attrs)
 	}
@@ -107,7 +111,7 @@
 func (r *request) notExecuted(choice *upstream.Choice, ticket *upstream.Ticket, resp *upstreamclient.Response, a fleet.ResponseAttributes) attemptResult {
 	resp.Discard()
 	otherInstance := a.Instance != "" && a.Instance != choice.Upstream.ID
-	missing := resp.Status == http.StatusMisdirectedRequest || resp.Status == http.StatusServiceUnavailable && a.HasLoad && a.Waiting == 0
+	missing := resp.Status == http.StatusMisdirectedRequest || resp.Status == http.StatusServiceUnavailable && a.HasLoad && a.Waiting == 0 && a.RetryAfter == 0
 	if missing && !otherInstance && r.query.Model != "" {
 		// The upstream does not have the model loaded, or is unloading it: one that is
 		// not full refuses only then. It may be picked again, to load the model there.
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -46,10 +46,10 @@
 	return best.choice(), Unavailable{}
 }
 
-// noCandidate tells why no upstream is usable; wait is when a cold one may be used, or 0.
+// noCandidate tells why no upstream is usable; wait is when one may be used, or 0.
 func noCandidate(wait time.Duration) Unavailable {
 	if wait > 0 {
-		return Unavailable{Reason: "all usable upstreams are at their rate limits", RetryAfter: wait}
+		return Unavailable{Reason: "all usable upstreams are at their rate limits or want a pause", RetryAfter: wait}
 	}
 	return Unavailable{Reason: "no usable upstream for the service"}
 }
@@ -171,8 +171,8 @@
 		return p.pickLoaded(q, withModel, now)
 	}
 	choice, wait := p.pickLoad(q, now)
-	if _, limited := p.limitSum(p.index.loaded[copyKey{q.Service, q.Model}], now); limited && coldWait > 0 && (choice == nil || choice.FromStore || coldWait <= choice.LoadTime) {
-		// The rate limits of the engines with the model have room sooner than another engine.
+	if coldWait > 0 && p.onlyRatesBind(p.index.loaded[copyKey{q.Service, q.Model}], now) && (choice == nil || choice.FromStore || coldWait <= choice.LoadTime) {
+		// The engines with the model have room sooner than another engine.
 		unavailable := noCandidate(coldWait)
 		unavailable.Queue = p.shortestQueue(q, hashes, now)
 		unavailable.Replica = p.replica(q, len(p.index.loaded[copyKey{q.Service, q.Model}]), now)
@@ -192,6 +192,24 @@
 	return choice, Unavailable{}
 }
 
+// onlyRatesBind reports whether all usable upstreams name rate limits, or all want a pause.
+func (p *Pool) onlyRatesBind(states map[*state]struct{}, now time.Time) bool {
+	if _, limited := p.limitSum(states, now); limited {
+		return true
+	}
+	paused := false
+	for s := range states {
+		if !p.usable(s, now) {
+			continue
+		}
+		if s.said.pause(now) == 0 {
+			return false
+		}
+		paused = true
+	}
+	return paused
+}
+
 // pickLoaded chooses among the engines that have the model loaded.
 func (p *Pool) pickLoaded(q *Query, withModel []candidate, now time.Time) (*Choice, Unavailable) {
 	best := slices.MinFunc(withModel, compareDelay)
--- a/internal/upstream/rate_limit.go
+++ b/internal/upstream/rate_limit.go
@@ -10,10 +10,13 @@
 // reach its agent. The agent permits the whole limit to the others.
 const limitTurnShare = 0.4
 
-// sendWait returns how long to wait before the next request to an upstream that is cold or
-// names a rate limit, or 0 if a request may be sent now. If needsPermit is set, it may be
-// sent once the upstream's agent permits it.
+// sendWait returns how long to wait before the next request to an upstream that wants a
+// pause, is cold or names a rate limit, or 0 if a request may be sent now. If needsPermit is
+// set, it may be sent once the upstream's agent permits it.
 func (p *Pool) sendWait(s *state, now time.Time) (wait time.Duration, needsPermit bool) {
+	if pause := s.said.pause(now); pause > 0 {
+		return pause, false
+	}
 	cold, coldPermit := p.coldWait(s, now)
 	limit, limitPermit := p.limitWait(s, now)
 	return max(cold, limit), coldPermit || limitPermit
@@ -75,7 +78,7 @@
 func (p *Pool) shortestQueue(q *Query, hashes []uint64, now time.Time) *Choice {
 	var best *state
 	for s := range p.index.loaded[copyKey{q.Service, q.Model}] {
-		if q.Tried[s.upstream.ID] || !p.usable(s, now) || s.cold(now) || !p.reachesAgent(s, now) || !s.holdings(now).HasAdapter(q.Model, q.Adapter) {
+		if q.Tried[s.upstream.ID] || !p.usable(s, now) || s.said.pause(now) > 0 || s.cold(now) || !p.reachesAgent(s, now) || !s.holdings(now).HasAdapter(q.Model, q.Adapter) {
 			continue
 		}
 		if best == nil || s.noPermitUntil.Before(best.noPermitUntil) {
--- a/internal/upstream/ticket.go
+++ b/internal/upstream/ticket.go
@@ -17,8 +17,9 @@
 }
 
 // Begin starts an attempt; the caller must call End on the ticket. It returns
-// no ticket if the upstream is no longer usable, or is at its rate limit. Pick has checked this already, but many requests may have waited since
-// then for the same load, and they all continue at once.
+// no ticket if the upstream is no longer usable, wants a pause, or is at its rate limit. Pick
+// has checked this already, but many requests may have waited since then for the same load,
+// and they all continue at once.
 func (p *Pool) Begin(c *Choice, q *Query) (*Ticket, Unavailable) {
 	now := time.Now()
 	p.mu.Lock()
@@ -27,6 +28,10 @@
 	if !ok || !p.usable(s, now) {
 		return nil, Unavailable{Reason: "the upstream is no longer usable"}
 	}
+	if s.said.pause(now) > 0 {
+		// The next Pick chooses another one.
+		return nil, Unavailable{Reason: "the upstream wants no requests for a while"}
+	}
 	if wait, needsPermit := p.sendWait(s, now); !c.Permitted && (wait > 0 || needsPermit) {
 		// If it has turned cold since Pick, the next Pick asks for a permit.
 		return nil, Unavailable{Reason: "the upstream is at its rate limit", RetryAfter: wait}
