Age crash reports by the clock that dates them

The time of day of an instance may be set: what it knew of crashes was dated by it, so that a jump ahead of ten minutes dropped all evidence, its own and that of every report that came after, and a jump back kept a quarantine for as long. It then sent on a request that three upstreams had crashed under.

Crashes are dated by the monotonic clock within a process. A report carries the time at which it was made, and the receiver uses only the difference to the times in it, except for reports that it lists when it starts.

TestReportOfAnotherClock (5 h and a minute, ahead and behind) needs the mark of a live report, which the code before does not have; there, crashes more than ten minutes away by the receiver's clock were dropped by usable().

--- a/internal/entryrpc/server.go
+++ b/internal/entryrpc/server.go
@@ -38,7 +38,7 @@
 		if req.From == "" {
 			return crashReportResponse{}, errkind.New(errkind.InvalidRequest, "the report names no instance")
 		}
-		crashes.SetReport(req.From, req.Report)
+		crashes.SetReport(req.From, req.Report.Live())
 		return crashReportResponse{}, nil
 	})
 	peer.Handle(r, pathBorrow, func(_ context.Context, req borrowRequest) (borrowResponse, error) {
--- a/internal/managed/crash_reports.go
+++ b/internal/managed/crash_reports.go
@@ -84,7 +84,8 @@
 }
 
 // apply passes reports of other instances, and of earlier starts of this one, to the table.
-func (c *crashReports) apply(t topicwatch.Name, items []topicwatch.Item) {
+// live tells that they have just been written.
+func (c *crashReports) apply(t topicwatch.Name, items []topicwatch.Item, live bool) {
 	if t != topicwatch.Crashes {
 		return
 	}
@@ -104,6 +105,9 @@
 			c.table.Restore(r)
 			continue
 		}
+		if live {
+			r = r.Live()
+		}
 		c.table.SetReport(it.Key, r)
 	}
 	if n := c.table.Quarantined(); n > 0 && len(items) > 0 {
--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -154,11 +153,11 @@
 			against = append(against, c)
 		}
 	}
-	slices.SortFunc(against, func(a, b *Crash) int { return cmp.Compare(a.AtMS, b.AtMS) })
+	slices.SortFunc(against, func(a, b *Crash) int { return a.at.Compare(b.at) })
 	w := 0
 	for _, c := range against {
 		if w += c.weight(s); w >= quarantineWeight {
-			return c.at()
+			return c.at
 		}
 	}
 	return time.Time{}
@@ -173,8 +172,8 @@
 			continue
 		}
 		n++
-		if c.at().After(last) {
-			last = c.at()
+		if c.at.After(last) {
+			last = c.at
 		}
 	}
 	const quarantineCrashes = quarantineWeight / warmWeight
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -9,7 +9,7 @@
 type Crash struct {
 	// ID identifies the upstream and its start.
 	ID string `json:"id"`
-	// AtMS is when the instance noticed the crash, in Unix milliseconds.
+	// AtMS is when the instance noticed the crash, in Unix milliseconds of its own clock.
 	AtMS int64 `json:"at_ms"`
 	// Cold tells that the upstream had started shortly before.
 	Cold bool `json:"cold,omitempty"`
@@ -22,6 +22,10 @@
 	// Cleared are suspects of the crash, also of other instances, that have completed
 	// since.
 	Cleared map[Suspect]bool `json:"cleared,omitempty"`
+
+	// at is when the crash was noticed, by this instance's clock. It does not change if the
+	// time of day is set.
+	at time.Time
 }
 
 // Weight of a crash as evidence, and the weight at which a suspect is quarantined: three
@@ -52,12 +56,12 @@
 	return w
 }
 
-func (c *Crash) at() time.Time { return time.UnixMilli(c.AtMS) }
-
 // merge adds what another instance knows of the same crash.
 func (c *Crash) merge(o *Crash) {
 	c.Cold = c.Cold || o.Cold
-	c.AtMS = min(c.AtMS, o.AtMS)
+	if o.at.Before(c.at) {
+		c.at = o.at
+	}
 	for s, position := range o.Suspects {
 		c.addSuspect(s, position)
 	}
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -12,9 +12,20 @@
 type Report struct {
 	// Start identifies the start of the instance, and Number counts its reports: reports
 	// may arrive by two ways, and out of order.
-	Start   string  `json:"start,omitempty"`
-	Number  int64   `json:"number,omitempty"`
-	Crashes []Crash `json:"crashes"`
+	Start  string `json:"start,omitempty"`
+	Number int64  `json:"number,omitempty"`
+	// WrittenMS is when the report was made, by the clock that dates its crashes.
+	WrittenMS int64   `json:"written_ms,omitempty"`
+	Crashes   []Crash `json:"crashes"`
+
+	live bool
+}
+
+// Live returns the report with the mark that it has just been made, as one that arrives while
+// this instance waits for reports.
+func (r Report) Live() Report {
+	r.live = true
+	return r
 }
 
 // olderThan reports whether the same start of the instance has made o later.
@@ -32,9 +43,10 @@
 	t.merge(now)
 	t.attribute(now)
 	t.reportNumber++
-	r := Report{Start: t.start, Number: t.reportNumber, Crashes: make([]Crash, 0, len(t.own))}
+	r := Report{Start: t.start, Number: t.reportNumber, WrittenMS: now.UnixMilli(), Crashes: make([]Crash, 0, len(t.own))}
 	for _, c := range t.own {
 		out := c.clone()
+		out.AtMS = r.WrittenMS - now.Sub(c.at).Milliseconds()
 		explained := t.explains(c) > 0
 		maps.DeleteFunc(out.Suspects, func(s Suspect, _ int) bool {
 			return c.Cleared[s] || explained && t.evidence(s) <= warmWeight
@@ -66,10 +78,12 @@
 func (r Report) usable(now time.Time) []Crash {
 	var out []Crash
 	for _, c := range r.Crashes[max(0, len(r.Crashes)-maxCrashes):] {
-		if c.ID == "" || len(c.ID) > maxCrashIDBytes || len(c.Suspects) > maxSuspects || c.at().After(now.Add(Retention)) || now.Sub(c.at()) >= Retention {
+		age := r.age(c, now)
+		if c.ID == "" || len(c.ID) > maxCrashIDBytes || len(c.Suspects) > maxSuspects || age < 0 || age >= Retention {
 			continue
 		}
 		valid := c.clone()
+		valid.at = now.Add(-age)
 		maps.DeleteFunc(valid.Suspects, func(s Suspect, position int) bool { return !s.valid() || position < 0 || position > maxParts })
 		maps.DeleteFunc(valid.NotBegun, func(s Suspect, notBegun bool) bool { _, known := valid.Suspects[s]; return !known || !notBegun })
 		maps.DeleteFunc(valid.Cleared, func(s Suspect, cleared bool) bool { return !s.valid() || !cleared })
@@ -78,6 +92,25 @@
 	return out
 }
 
+// age returns how long ago a crash of the report was noticed. The clock that dates a report may
+// be ahead of or behind this one, so only the difference between its two times is certain. How
+// long a report took that is not live depends on both clocks.
+func (r Report) age(c Crash, now time.Time) time.Duration {
+	if r.WrittenMS == 0 {
+		r.WrittenMS = now.UnixMilli()
+	}
+	age := time.Duration(r.WrittenMS-c.AtMS) * time.Millisecond
+	took := now.Sub(time.UnixMilli(r.WrittenMS))
+	switch {
+	case age < 0 || age >= Retention:
+		return Retention
+	case r.live || took < 0:
+		return age
+	default:
+		return age + took
+	}
+}
+
 // maxCrashIDBytes bounds the id of a crash, an upstream's id and its start.
 const maxCrashIDBytes = 256
 
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -109,7 +109,7 @@
 func (t *Table) ownCrash(id string, now time.Time) *Crash {
 	c, ok := t.own[id]
 	if !ok {
-		c = (&Crash{ID: id, AtMS: now.UnixMilli()}).clone()
+		c = (&Crash{ID: id, at: now}).clone()
 		t.own[id] = c
 	}
 	return c
@@ -133,7 +133,7 @@
 				continue
 			}
 			own := t.ownCrash(id, now)
-			own.AtMS, own.Cold = c.AtMS, c.Cold
+			own.at, own.Cold = c.at, c.Cold
 			own.Cleared[s], c.Cleared[s] = true, true
 			t.stale = true
 		}
@@ -251,7 +251,7 @@
 
 // expire drops crashes older than Retention, and those beyond maxCrashes.
 func (t *Table) expire(now time.Time) {
-	old := func(c *Crash) bool { return now.Sub(c.at()) >= Retention }
+	old := func(c *Crash) bool { return now.Sub(c.at) >= Retention }
 	maps.DeleteFunc(t.own, func(_ string, c *Crash) bool { return old(c) })
 	for name, r := range t.reports {
 		if slices.IndexFunc(r.Crashes, func(c Crash) bool { return old(&c) }) < 0 {
@@ -266,7 +266,7 @@
 	// Crashes that explain a quarantine are needed for as long as it lasts.
 	all := slices.Collect(maps.Values(t.own))
 	slices.SortFunc(all, func(a, b *Crash) int {
-		return cmp.Or(cmp.Compare(t.explains(b), t.explains(a)), cmp.Compare(b.AtMS, a.AtMS))
+		return cmp.Or(cmp.Compare(t.explains(b), t.explains(a)), b.at.Compare(a.at))
 	})
 	for _, c := range all[maxCrashes:] {
 		delete(t.own, c.ID)
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -305,3 +305,33 @@
 	// Without a body only the prompt tells requests apart.
 	check.True(sent("", "a1").Digest() != sent("", "a2").Digest())
 }
+
+// TestReportOfAnotherClock guards against reports that are ignored, or kept for too long, because
+// the clock of the instance that made them is hours ahead or behind.
+func TestReportOfAnotherClock(t *testing.T) {
+	for _, ahead := range []time.Duration{-5 * time.Hour, -time.Minute, 0, time.Minute, 5 * time.Hour} {
+		t.Run(ahead.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				check := is.New(t)
+				from, to := NewTable(), NewTable()
+				for i := range 3 {
+					from.RecordCrash(fmt.Sprint("u", i), false, false, request("d", "f"))
+				}
+				time.Sleep(time.Second)
+				r := from.Report()
+				r.WrittenMS += ahead.Milliseconds()
+				for i := range r.Crashes {
+					r.Crashes[i].AtMS += ahead.Milliseconds()
+				}
+				to.SetReport("from", r.Live())
+				settle()
+				_, until, ok := to.Check(1, request("d", "f"))
+				check.True(ok)
+				left := time.Until(until)
+				check.True(left <= durations[0] && left > durations[0]-2*time.Second)
+				time.Sleep(Retention)
+				check.True(!to.Active() || !quarantined(to, request("d", "f")))
+			})
+		})
+	}
+}
--- a/internal/topicwatch/follower.go
+++ b/internal/topicwatch/follower.go
@@ -21,7 +21,7 @@
 	decoder          Decoder
 	logger           *zap.Logger
 	onChange         func(*fleet.View)
-	onRecords        func(t Name, items []Item)
+	onRecords        func(t Name, items []Item, isNew bool)
 	longOperatorWait bool
 
 	view atomic.Pointer[fleet.View]
@@ -54,8 +54,9 @@
 	// OnChange is called with each new view, one call at a time.
 	OnChange func(*fleet.View)
 	// OnRecords is called with the records of each answer for a topic that is no part of the
-	// view, one call at a time; it may be nil. The first answer may have none.
-	OnRecords func(t Name, items []Item)
+	// view, one call at a time; it may be nil. The first answer may have none. isNew tells
+	// that they were written after those of the last answer.
+	OnRecords func(t Name, items []Item, isNew bool)
 }
 
 // NewFollower returns a follower without records; Run reads them.
@@ -233,7 +234,7 @@
 	switch {
 	case !inView(t):
 		if f.onRecords != nil && (first || len(page.Items) > 0) {
-			f.onRecords(t, page.Items)
+			f.onRecords(t, page.Items, kind == sourceRecords)
 		}
 	case changed || first:
 		f.publishView()
--- a/internal/topicwatch/follower_test.go
+++ b/internal/topicwatch/follower_test.go
@@ -394,7 +394,7 @@
 		var got []string
 		last := func() string { mu.Lock(); defer mu.Unlock(); return got[len(got)-1] }
 		first := make(chan struct{})
-		fo := NewFollower(Options{Source: store, Decoder: textDecoder{}, Logger: zap.NewNop(), OnRecords: func(topic Name, items []Item) {
+		fo := NewFollower(Options{Source: store, Decoder: textDecoder{}, Logger: zap.NewNop(), OnRecords: func(topic Name, items []Item, _ bool) {
 			check.Equal(topic, Crashes)
 			mu.Lock()
 			defer mu.Unlock()
