Log when the store has come back from a copy

The logs could not tell a log whose records had expired from one that had come back older. The store names its era in every answer (Store-Era); topicwatch logs each change of it with the offsets before and after. No decision changes.

--- a/internal/topicwatch/follower.go
+++ b/internal/topicwatch/follower.go
@@ -220,6 +220,11 @@
 	if kind != fallbackList {
 		s.noteAnswer(now)
 	}
+	if page.Era != s.era && !first {
+		f.logger.Warn("store came back from a copy", zap.String("topic", string(t)), zap.Int64("era", page.Era), zap.Int64("era_before", s.era),
+			zap.Int64("next", page.Next), zap.Int64("next_before", s.next))
+	}
+	s.era = page.Era
 	var changed bool
 	if kind == sourceRecords {
 		changed = s.applyRecords(page, now)
--- a/internal/topicwatch/page.go
+++ b/internal/topicwatch/page.go
@@ -7,4 +7,7 @@
 	AgeMS int64  `json:"age_ms,omitempty"`
 	Items []Item `json:"items"`
 	Next  int64  `json:"next"`
+	// Era is how many times the store had come back from a copy when it confirmed the
+	// records. Offsets of different eras cannot be compared: the store gives them out again.
+	Era int64 `json:"era,omitempty"`
 }
--- a/internal/topicwatch/state.go
+++ b/internal/topicwatch/state.go
@@ -11,6 +11,8 @@
 	items map[string]Item
 	// next is the offset at which the next read starts; -1 before the first list.
 	next int64
+	// era is that of the last page.
+	era int64
 	// pendingRemovals has the keys that were removed shortly after an outage, with
 	// the time at which each is removed here unless it gets a new record before.
 	pendingRemovals map[string]time.Time
