--- a/internal/topicwatch/follower_test.go
+++ b/internal/topicwatch/follower_test.go
@@ -26,10 +26,12 @@
 	// hanging makes calls time out without an answer.
 	hanging bool
 	reads   map[Name]int
+	// era counts the restores from a copy, starting at 1.
+	era int64
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{topics: make(map[Name][]Item), first: make(map[Name]int64), reads: make(map[Name]int)}
+	return &fakeStore{topics: make(map[Name][]Item), first: make(map[Name]int64), reads: make(map[Name]int), era: 1}
 }
 
 func (s *fakeStore) put(t Name, key, value string) {
@@ -96,7 +98,7 @@
 	for _, it := range s.topics[t] {
 		newest[it.Key] = it
 	}
-	p := Page{Next: int64(len(s.topics[t]))}
+	p := Page{Next: int64(len(s.topics[t])), Era: s.era}
 	for _, it := range newest {
 		if len(it.Value) > 0 {
 			p.Items = append(p.Items, it)
@@ -115,16 +117,17 @@
 			return Page{}, errors.New("no answer")
 		}
 		s.mu.Lock()
-		down, expired := s.down, from < s.first[t]
+		down, expired, era := s.down, from < s.first[t] || from > int64(len(s.topics[t])), s.era
 		items := append([]Item(nil), s.topics[t][min(from, int64(len(s.topics[t]))):]...)
 		s.mu.Unlock()
 		switch {
 		case down:
 			return Page{}, errors.New("down")
 		case expired:
+			sleep(ctx, time.Millisecond) // the round trip
 			return Page{}, ErrExpired
 		case len(items) > 0 || !time.Now().Before(end):
-			return Page{Items: items, Next: from + int64(len(items))}, nil
+			return Page{Items: items, Next: from + int64(len(items)), Era: era}, nil
 		}
 		sleep(ctx, 5*time.Millisecond)
 		if ctx.Err() != nil {
--- /dev/null
+++ b/internal/topicwatch/restored_test.go
@@ -0,0 +1,110 @@
+package topicwatch
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// copyRecords returns a copy of the store's records.
+func (s *fakeStore) copyRecords() map[Name][]Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.topics)
+}
+
+// restore replaces the records by a copy and begins the next era.
+func (s *fakeStore) restore(records map[Name][]Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics = maps.Clone(records)
+	s.era++
+}
+
+// applyTime is after how long a confirmed change is in force.
+const applyTime = 2 * time.Second
+
+// TestRestoredStoreChangeNotInForce guards against a change that is ignored because the store,
+// after it has come back from a copy, gives out offsets again, also after a second restore,
+// and against reading the topics without a pause.
+func TestRestoredStoreChangeNotInForce(t *testing.T) {
+	runFollower(t, nil, func(check *is.I, s *fakeStore, f *Follower) {
+		for round := range 3 {
+			old := s.copyRecords()
+			for i := range 4 {
+				s.put(Operators, "config", string(rune('2'+2*round+i%2)))
+			}
+			time.Sleep(applyTime)
+			before := s.readCount(Operators)
+			s.restore(old)
+			time.Sleep(applyTime)
+			check.True(s.readCount(Operators)-before < 10)
+			s.put(Operators, "config", string(rune('3'+2*round)))
+			s.put(Operators, "out/z1", "1")
+			s.put(Upstreams, "c", "x")
+			time.Sleep(applyTime)
+			check.Equal(f.View().Config.Version, int64(3+2*round))
+			check.True(f.View().Evacuated["z1"])
+			check.True(f.View().Upstreams["c"] != nil)
+			s.put(Operators, "out/z1", "")
+			s.put(Upstreams, "c", "")
+			time.Sleep(applyTime)
+			check.True(!f.View().Evacuated["z1"])
+			check.Equal(f.View().Upstreams["c"], nil)
+		}
+	})
+}
+
+// TestRestoredStoreTakesBackChange guards against records of the copy that replace newer ones,
+// which were confirmed and are gone from it: an older configuration, an upstream that leaves
+// and is ready again, one that was removed, an evacuation that ends.
+func TestRestoredStoreTakesBackChange(t *testing.T) {
+	runFollower(t, nil, func(check *is.I, s *fakeStore, f *Follower) {
+		old := s.copyRecords()
+		s.put(Operators, "config", "2")
+		s.put(Operators, "out/z1", "1")
+		s.put(Upstreams, "a", "draining")
+		s.put(Upstreams, "b", "")
+		s.put(Members, "m", "1")
+		time.Sleep(applyTime)
+		s.restore(old)
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			v := f.View()
+			check.Equal(v.Config.Version, int64(2))
+			check.True(v.Evacuated["z1"])
+			check.True(v.Upstreams["a"].Draining)
+			check.Equal(v.Upstreams["b"], nil)
+			check.Equal(len(v.Members), 1)
+		}
+		// What is written after the restore is in force, whatever was known before.
+		s.put(Upstreams, "a", "x")
+		s.put(Upstreams, "b", "x")
+		s.put(Operators, "out/z1", "")
+		time.Sleep(applyTime)
+		check.True(!f.View().Upstreams["a"].Draining)
+		check.True(f.View().Upstreams["b"] != nil)
+		check.True(!f.View().Evacuated["z1"])
+	})
+}
+
+// TestRestoredStoreUpstreamNotWrittenAgain guards against an upstream that is used although it
+// has not come back 2 s after the restore, and against one that is left out meanwhile.
+func TestRestoredStoreUpstreamNotWrittenAgain(t *testing.T) {
+	runFollower(t, nil, func(check *is.I, s *fakeStore, f *Follower) {
+		old := s.copyRecords()
+		s.put(Upstreams, "new", "x")
+		s.put(Upstreams, "gone", "x")
+		time.Sleep(applyTime)
+		s.restore(old)
+		time.Sleep(applyTime / 2)
+		check.True(f.View().Upstreams["new"] != nil && f.View().Upstreams["gone"] != nil)
+		s.put(Upstreams, "new", "x")
+		time.Sleep(3 * time.Second)
+		check.True(f.View().Upstreams["new"] != nil)
+		check.Equal(f.View().Upstreams["gone"], nil)
+		check.True(f.View().Upstreams["a"] != nil && f.View().Upstreams["b"] != nil)
+	})
+}
