Compare records by era and offset, and keep what a restored store has lost

Cause: records were ordered by an offset whose meaning changes when the store comes back from a copy and gives offsets out again. Every new record was taken for an old one until the log was as long as before. The same order decided which records a relay serves, whose list an instance takes while the store is away, and which decoded record is cached.

A page of another era is not applied; the topic is listed. Such a list is older than what is known, so it replaces only what it shows to be older: a lower version, an earlier start, an upstream that has not announced its leaving. What the copy lacks is kept, since it is written again; entries of upstreams for 2.2 s. Relays and fallbacks name their era, and serve no record that the copy lost as new. A list that is older than the known records within an era is an error.

--- a/internal/entryrpc/agent_topics.go
+++ b/internal/entryrpc/agent_topics.go
@@ -57,7 +57,7 @@
 func (a *AgentTopics) IsRelay(topicwatch.Name) bool { return false }
 
 // ReadFromRelay implements topicwatch.RelayReader. It waits up to agentTopicWait.
-func (a *AgentTopics) ReadFromRelay(ctx context.Context, t topicwatch.Name, from int64, _ time.Duration) (topicwatch.Page, bool) {
+func (a *AgentTopics) ReadFromRelay(ctx context.Context, t topicwatch.Name, from topicwatch.Position, _ time.Duration) (topicwatch.Page, bool) {
 	a.mu.Lock()
 	addr, fresh := a.addr, time.Since(a.calledAt) <= callerTTL
 	a.mu.Unlock()
@@ -68,7 +68,7 @@
 	defer cancel()
 	var resp topicResponse
 	err := a.peers.Call(callCtx, addr, pathTopic, topicRequest{
-		Topic: t, Fresh: true, From: from, WaitMS: agentTopicWait.Milliseconds(), MaxAgeMS: agentTopicMaxAge.Milliseconds(),
+		Topic: t, Fresh: true, From: from.Offset, Era: from.Era, WaitMS: agentTopicWait.Milliseconds(), MaxAgeMS: agentTopicMaxAge.Milliseconds(),
 	}, &resp)
 	if err != nil || !resp.Known {
 		a.drop(addr)
--- a/internal/entryrpc/client.go
+++ b/internal/entryrpc/client.go
@@ -190,7 +190,7 @@
 var _ topicwatch.RelayReader = (*Client)(nil)
 
 // ReadFromRelay implements topicwatch.RelayReader.
-func (c *Client) ReadFromRelay(ctx context.Context, t topicwatch.Name, from int64, wait time.Duration) (topicwatch.Page, bool) {
+func (c *Client) ReadFromRelay(ctx context.Context, t topicwatch.Name, from topicwatch.Position, wait time.Duration) (topicwatch.Page, bool) {
 	m, ok := c.relay(t)
 	if !ok {
 		return topicwatch.Page{}, false
@@ -198,7 +198,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, wait+relayReadMargin)
 	defer cancel()
 	var resp topicResponse
-	req := topicRequest{Topic: t, Fresh: true, From: from, WaitMS: wait.Milliseconds()}
+	req := topicRequest{Topic: t, Fresh: true, From: from.Offset, Era: from.Era, WaitMS: wait.Milliseconds()}
 	if t == topicwatch.Crashes {
 		req.MaxAgeMS = topicwatch.MaxCrashStaleness.Milliseconds()
 	}
@@ -211,6 +211,6 @@
 }
 
 // Read implements topicwatch.Source. It always returns all known records.
-func (c *Client) Read(ctx context.Context, t topicwatch.Name, _ int64, _ time.Duration) (topicwatch.Page, error) {
+func (c *Client) Read(ctx context.Context, t topicwatch.Name, _ topicwatch.Position, _ time.Duration) (topicwatch.Page, error) {
 	return c.List(ctx, t)
 }
--- a/internal/entryrpc/messages.go
+++ b/internal/entryrpc/messages.go
@@ -45,8 +45,10 @@
 	// instance has recently read the topic from the store itself. If there are none,
 	// the call waits up to WaitMS ms for one. Without Fresh, the call asks for all
 	// known records.
-	Fresh  bool  `json:"fresh,omitempty"`
-	From   int64 `json:"from,omitempty"`
+	Fresh bool  `json:"fresh,omitempty"`
+	From  int64 `json:"from,omitempty"`
+	// Era is the era of From.
+	Era    int64 `json:"era,omitempty"`
 	WaitMS int64 `json:"wait_ms,omitempty"`
 	// MaxAgeMS is how long ago the store may have confirmed the records, in ms; 0 stands
 	// for topicwatch.MaxStaleness.
--- a/internal/entryrpc/server.go
+++ b/internal/entryrpc/server.go
@@ -24,7 +24,7 @@
 // TopicCache holds the topic records that this instance knows.
 type TopicCache interface {
 	Snapshot(t topicwatch.Name) (topicwatch.Page, bool)
-	ReadLocal(ctx context.Context, t topicwatch.Name, from int64, wait, maxAge time.Duration) (topicwatch.Page, bool)
+	ReadLocal(ctx context.Context, t topicwatch.Name, from topicwatch.Position, wait, maxAge time.Duration) (topicwatch.Page, bool)
 }
 
 // CrashTable takes the reports of other instances on crashed upstreams.
@@ -56,7 +56,7 @@
 			if req.MaxAgeMS > 0 {
 				maxAge = time.Duration(req.MaxAgeMS) * time.Millisecond
 			}
-			page, ok := cache.ReadLocal(ctx, req.Topic, req.From, wait, maxAge)
+			page, ok := cache.ReadLocal(ctx, req.Topic, topicwatch.Position{Era: req.Era, Offset: req.From}, wait, maxAge)
 			return topicResponse{Known: ok, Page: page}, nil
 		}
 		page, ok := cache.Snapshot(req.Topic)
--- a/internal/topicwatch/follower.go
+++ b/internal/topicwatch/follower.go
@@ -37,8 +37,8 @@
 }
 
 type decodedItem struct {
-	offset int64
-	value  any
+	position Position
+	value    any
 }
 
 // Options configure a Follower.
@@ -138,33 +138,54 @@
 
 // poll lists a topic that is not known yet, and otherwise reads its new records.
 func (f *Follower) poll(ctx context.Context, t Name, wait time.Duration) error {
-	f.mu.Lock()
-	next := f.states[t].next
-	f.mu.Unlock()
-	if next < 0 {
-		page, err := f.source.List(ctx, t)
-		if err != nil {
-			return err
-		}
-		f.apply(t, page, sourceList)
-		return nil
-	}
-	page, err := f.source.Read(ctx, t, next, wait)
-	if errors.Is(err, ErrExpired) {
-		f.logger.Info("topic records have expired, listing the topic again", zap.String("topic", string(t)), zap.Int64("from", next))
-		page, err = f.source.List(ctx, t)
-		if err == nil {
-			f.apply(t, page, sourceList)
-		}
+	from, _ := f.position(t)
+	if from.Offset < 0 {
+		return f.list(ctx, t)
+	}
+	page, err := f.source.Read(ctx, t, from, wait)
+	switch {
+	case errors.Is(err, ErrExpired):
+		f.logger.Info("topic records have expired, listing the topic again", zap.String("topic", string(t)), zap.Int64("from", from.Offset))
+		return f.list(ctx, t)
+	case err != nil:
 		return err
+	case page.Era != from.Era:
+		// The records at these offsets are others than those that follow the known ones.
+		return f.list(ctx, t)
 	}
+	f.apply(t, page.inOwnEra(), sourceRecords)
+	return nil
+}
+
+// errOldList is the error of a list that is older than the known records.
+var errOldList = errors.New("the list is older than the known records")
+
+// list reads and applies all records of a topic.
+func (f *Follower) list(ctx context.Context, t Name) error {
+	page, err := f.source.List(ctx, t)
 	if err != nil {
 		return err
 	}
-	f.apply(t, page, sourceRecords)
+	known, _ := f.position(t)
+	// A store that names no era has come back from a copy if its log is shorter.
+	if page.end().before(known) && page.Era+known.Era > 0 {
+		return errOldList
+	}
+	f.apply(t, page.inOwnEra(), sourceList)
 	return nil
 }
 
+// position returns where the next read of a topic starts, and its newest era.
+func (f *Follower) position(t Name) (Position, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.states[t]
+	if !ok {
+		return Position{}, false
+	}
+	return s.position(), true
+}
+
 // readFallback applies the records of another instance if they are newer than the
 // follower's own.
 func (f *Follower) readFallback(ctx context.Context, t Name) {
@@ -176,10 +197,7 @@
 		f.logger.Debug("topic read from fallback failed", zap.String("topic", string(t)), telemetry.Err(err))
 		return
 	}
-	f.mu.Lock()
-	newer := page.Next > f.states[t].next
-	f.mu.Unlock()
-	if newer {
+	if known, _ := f.position(t); known.before(page.end()) {
 		f.apply(t, page, fallbackList)
 	}
 }
@@ -193,7 +211,7 @@
 	if !ok || s.next < 0 {
 		return Page{}, false
 	}
-	page := Page{Next: s.next}
+	page := Page{Next: s.next, Era: s.era}
 	for _, it := range s.items {
 		page.Items = append(page.Items, it)
 	}
@@ -220,16 +238,19 @@
 	if kind != fallbackList {
 		s.noteAnswer(now)
 	}
-	if page.Era != s.era && !first {
-		f.logger.Warn("store came back from a copy", zap.String("topic", string(t)), zap.Int64("era", page.Era), zap.Int64("era_before", s.era),
-			zap.Int64("next", page.Next), zap.Int64("next_before", s.next))
-	}
-	s.era = page.Era
+	supersedes := func(listed, known Item) bool { return f.supersedes(t, listed, known) }
 	var changed bool
-	if kind == sourceRecords {
+	switch {
+	case kind == sourceRecords && page.Era == s.era:
 		changed = s.applyRecords(page, now)
-	} else {
-		changed = s.replaceAll(page, now)
+	case kind == sourceRecords:
+		return // the era has changed since the read began
+	case !first && (page.Era > s.era || kind == sourceList && page.end().before(s.position())):
+		f.logger.Warn("store came back from a copy", zap.String("topic", string(t)), zap.Int64("era", page.Era), zap.Int64("era_before", s.era),
+			zap.Int64("next", page.Next), zap.Int64("next_before", s.next))
+		changed = s.restore(page, now, supersedes)
+	default:
+		changed = s.replaceAll(page, now, supersedes)
 	}
 	changed = s.removeDue(now) || changed
 	if changed || first {
@@ -246,6 +267,24 @@
 	}
 }
 
+// supersedes reports whether a record that the store listed after it had come back from a copy
+// was written later than the known one, which the copy does not have.
+func (f *Follower) supersedes(t Name, listed, known Item) bool {
+	switch t {
+	case Operators:
+		a, _, errA := f.decoder.Operator(listed)
+		b, _, errB := f.decoder.Operator(known)
+		return errA == nil && errB == nil && a != nil && b != nil && a.Version > b.Version
+	case Upstreams:
+		a, errA := f.decoder.Upstream(listed)
+		b, errB := f.decoder.Upstream(known)
+		// An upstream that leaves does not stay after all.
+		return errA == nil && (errB != nil || a.StartedAtMS > b.StartedAtMS || a.StartedAtMS == b.StartedAtMS && a.Draining)
+	default:
+		return false
+	}
+}
+
 // inView reports whether the records of a topic are part of the view.
 func inView(t Name) bool { return t != Crashes }
 
@@ -260,8 +299,8 @@
 
 // ReadLocal serves a read of another instance from the follower's own records. It
 // returns false unless the store confirmed them within maxAge and all records from
-// offset from on are known.
-func (f *Follower) ReadLocal(ctx context.Context, t Name, from int64, wait, maxAge time.Duration) (Page, bool) {
+// position from on are known.
+func (f *Follower) ReadLocal(ctx context.Context, t Name, from Position, wait, maxAge time.Duration) (Page, bool) {
 	end := time.Now().Add(wait)
 	for {
 		f.mu.Lock()
@@ -359,17 +398,17 @@
 // decodeCached decodes a record, or returns the cached value if it was decoded
 // before. A record that cannot be decoded is logged once and skipped.
 func decodeCached[T any](f *Follower, t Name, key string, it Item, decode func(Item) (T, error)) (T, bool) {
-	if d, ok := f.decoded[t][key]; ok && d.offset == it.Offset {
+	if d, ok := f.decoded[t][key]; ok && d.position == it.position() {
 		v, ok := d.value.(T)
 		return v, ok
 	}
 	v, err := decode(it)
 	if err != nil {
 		f.logger.Warn("record cannot be decoded, skipping it", zap.String("topic", string(t)), zap.String("key", key), zap.Int64("offset", it.Offset), telemetry.Err(err))
-		f.decoded[t][key] = decodedItem{offset: it.Offset}
+		f.decoded[t][key] = decodedItem{position: it.position()}
 		return v, false
 	}
-	f.decoded[t][key] = decodedItem{offset: it.Offset, value: v}
+	f.decoded[t][key] = decodedItem{position: it.position(), value: v}
 	return v, true
 }
 
--- a/internal/topicwatch/follower_test.go
+++ b/internal/topicwatch/follower_test.go
@@ -101,13 +101,15 @@
 	p := Page{Next: int64(len(s.topics[t])), Era: s.era}
 	for _, it := range newest {
 		if len(it.Value) > 0 {
+			it.Era = s.era // as another instance sends it
 			p.Items = append(p.Items, it)
 		}
 	}
 	return p
 }
 
-func (s *fakeStore) Read(ctx context.Context, t Name, from int64, wait time.Duration) (Page, error) {
+func (s *fakeStore) Read(ctx context.Context, t Name, position Position, wait time.Duration) (Page, error) {
+	from := position.Offset
 	s.mu.Lock()
 	s.reads[t]++
 	s.mu.Unlock()
@@ -361,7 +363,7 @@
 
 func (m *mirror) List(_ context.Context, t Name) (Page, error) { return m.store.list(t), nil }
 
-func (m *mirror) Read(ctx context.Context, t Name, _ int64, _ time.Duration) (Page, error) {
+func (m *mirror) Read(ctx context.Context, t Name, _ Position, _ time.Duration) (Page, error) {
 	return m.List(ctx, t)
 }
 
--- a/internal/topicwatch/page.go
+++ b/internal/topicwatch/page.go
@@ -7,7 +7,20 @@
 	AgeMS int64  `json:"age_ms,omitempty"`
 	Items []Item `json:"items"`
 	Next  int64  `json:"next"`
-	// Era is how many times the store had come back from a copy when it confirmed the
-	// records. Offsets of different eras cannot be compared: the store gives them out again.
+	// Era is the era of Next.
 	Era int64 `json:"era,omitempty"`
 }
+
+// end returns the position of Next.
+func (p Page) end() Position { return Position{Era: p.Era, Offset: p.Next} }
+
+// inOwnEra returns the page with the era set in its records.
+func (p Page) inOwnEra() Page {
+	items := make([]Item, len(p.Items))
+	for i, it := range p.Items {
+		it.Era = p.Era
+		items[i] = it
+	}
+	p.Items = items
+	return p
+}
--- a/internal/topicwatch/relayed_source.go
+++ b/internal/topicwatch/relayed_source.go
@@ -8,11 +8,11 @@
 // RelayReader reads a topic from the relay: the entry instance that reads the
 // store on behalf of this one.
 type RelayReader interface {
-	// ReadFromRelay returns the records from offset from on that the relay has read
+	// ReadFromRelay returns the records from position from on that the relay has read
 	// from the store. If there are none, it waits up to wait for one. It returns
-	// false if this instance has no relay, or the relay does not answer or does not
-	// have all of these records.
-	ReadFromRelay(ctx context.Context, t Name, from int64, wait time.Duration) (Page, bool)
+	// false if this instance has no relay, or the relay does not answer, does not have all
+	// of these records or is in another era.
+	ReadFromRelay(ctx context.Context, t Name, from Position, wait time.Duration) (Page, bool)
 	// IsRelay reports whether other instances read a topic from this one.
 	IsRelay(t Name) bool
 }
@@ -50,7 +50,7 @@
 }
 
 // Read implements Source.
-func (r *RelayedSource) Read(ctx context.Context, t Name, from int64, wait time.Duration) (Page, error) {
+func (r *RelayedSource) Read(ctx context.Context, t Name, from Position, wait time.Duration) (Page, error) {
 	if t != Members {
 		atRelay := relayWait
 		if t == Crashes {
--- a/internal/topicwatch/relayed_source_test.go
+++ b/internal/topicwatch/relayed_source_test.go
@@ -21,7 +21,7 @@
 
 func (r *linkedReader) IsRelay(Name) bool { return false }
 
-func (r *linkedReader) ReadFromRelay(ctx context.Context, t Name, from int64, wait time.Duration) (Page, bool) {
+func (r *linkedReader) ReadFromRelay(ctx context.Context, t Name, from Position, wait time.Duration) (Page, bool) {
 	if t == Operators && !r.operators {
 		return Page{}, false
 	}
@@ -64,7 +64,7 @@
 
 func (noRelay) IsRelay(Name) bool { return true }
 
-func (noRelay) ReadFromRelay(context.Context, Name, int64, time.Duration) (Page, bool) {
+func (noRelay) ReadFromRelay(context.Context, Name, Position, time.Duration) (Page, bool) {
 	return Page{}, false
 }
 
@@ -119,7 +119,7 @@
 	return l.Source.List(ctx, t)
 }
 
-func (l *unreachableStore) Read(ctx context.Context, t Name, from int64, wait time.Duration) (Page, error) {
+func (l *unreachableStore) Read(ctx context.Context, t Name, from Position, wait time.Duration) (Page, error) {
 	if l.unreachable.Load() {
 		sleep(ctx, time.Second)
 		return Page{}, context.DeadlineExceeded
--- a/internal/topicwatch/restored_test.go
+++ b/internal/topicwatch/restored_test.go
@@ -108,3 +108,78 @@
 		check.True(f.View().Upstreams["a"] != nil && f.View().Upstreams["b"] != nil)
 	})
 }
+
+// TestRestoredStoreSeenByOneInstance guards against an instance that has not noticed the restore
+// and whose records replace those of one that has, and against one that is cut off from the
+// store and does not learn of the restore, or loses what the copy lacks.
+func TestRestoredStoreSeenByOneInstance(t *testing.T) {
+	t.Run("the other has not noticed", func(t *testing.T) {
+		other := newFakeStore()
+		for range 50 {
+			other.put(Operators, "config", "1")
+			other.put(Upstreams, "old", "x")
+		}
+		runFollower(t, other, func(check *is.I, s *fakeStore, f *Follower) {
+			s.restore(s.copyRecords())
+			s.put(Operators, "config", "4")
+			time.Sleep(applyTime)
+			s.setDown(true)
+			time.Sleep(3 * time.Second)
+			check.Equal(f.View().Config.Version, int64(4))
+			check.Equal(f.View().Upstreams["old"], nil)
+			check.Equal(len(f.View().Upstreams), 2)
+		})
+	})
+	t.Run("only the other has noticed", func(t *testing.T) {
+		other := newFakeStore()
+		other.put(Operators, "config", "1")
+		other.put(Upstreams, "a", "x")
+		other.put(Upstreams, "b", "x")
+		runFollower(t, other, func(check *is.I, s *fakeStore, f *Follower) {
+			s.put(Operators, "config", "6")
+			s.put(Operators, "out/z1", "1")
+			s.put(Upstreams, "a", "draining")
+			time.Sleep(applyTime)
+			other.restore(other.copyRecords())
+			s.setDown(true)
+			time.Sleep(time.Second)
+			check.Equal(f.View().Config.Version, int64(6))
+			check.True(f.View().Evacuated["z1"])
+			check.True(f.View().Upstreams["a"].Draining)
+			other.put(Operators, "config", "8")
+			other.put(Upstreams, "c", "x")
+			time.Sleep(applyTime)
+			check.Equal(f.View().Config.Version, int64(8))
+			check.True(f.View().Upstreams["c"] != nil)
+			check.True(f.View().Upstreams["a"].Draining)
+		})
+	})
+}
+
+// TestRestoredStoreReadThroughRelay guards against records of one era that a relay serves to a
+// reader of another one, and against records that the copy lost and that a relay serves as if
+// they had been written again.
+func TestRestoredStoreReadThroughRelay(t *testing.T) {
+	runRelayed(t, func(check *is.I, s *fakeStore, link *linkedReader, _ *unreachableStore, second *Follower) {
+		for range 2 {
+			old := s.copyRecords()
+			for range 5 {
+				s.put(Upstreams, "a", "x")
+				s.put(Upstreams, "lost", "x")
+				s.put(Operators, "config", "5")
+			}
+			time.Sleep(applyTime)
+			s.restore(old)
+			s.put(Upstreams, "a", "draining")
+			time.Sleep(applyTime)
+			check.Equal(second.View().Config.Version, int64(5))
+			check.True(second.View().Upstreams["a"].Draining)
+			check.True(link.other.View().Upstreams["a"].Draining)
+			time.Sleep(applyTime)
+			check.Equal(second.View().Upstreams["lost"], nil)
+			check.Equal(link.other.View().Upstreams["lost"], nil)
+			s.put(Upstreams, "a", "x")
+			time.Sleep(applyTime)
+		}
+	})
+}
--- a/internal/topicwatch/source.go
+++ b/internal/topicwatch/source.go
@@ -12,9 +12,11 @@
 type Source interface {
 	// List returns the newest record of every key.
 	List(ctx context.Context, t Name) (Page, error)
-	// Read returns the records from offset from on. If there are none, it waits up
-	// to wait for one. It returns ErrExpired if the store has deleted some of them.
-	Read(ctx context.Context, t Name, from int64, wait time.Duration) (Page, error)
+	// Read returns the records from position from on. If there are none, it waits up
+	// to wait for one. It returns ErrExpired if the store does not have some of them. If the
+	// store has come back from a copy since, the page has another era, and its records say
+	// nothing.
+	Read(ctx context.Context, t Name, from Position, wait time.Duration) (Page, error)
 }
 
 // ErrExpired means that the topic has to be listed again.
--- a/internal/topicwatch/state.go
+++ b/internal/topicwatch/state.go
@@ -1,6 +1,7 @@
 package topicwatch
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"time"
@@ -11,8 +12,15 @@
 	items map[string]Item
 	// next is the offset at which the next read starts; -1 before the first list.
 	next int64
-	// era is that of the last page.
+	// era is the era of next. Records of earlier eras are those that the store lost when it
+	// came back from a copy and that have not been written again yet.
 	era int64
+	// certainFrom is the offset from which on records of this era are known to have been
+	// written in it; those before may be from the copy.
+	certainFrom int64
+	// removed has when keys were removed, so that a copy of the store does not bring them
+	// back.
+	removed map[string]time.Time
 	// pendingRemovals has the keys that were removed shortly after an outage, with
 	// the time at which each is removed here unless it gets a new record before.
 	pendingRemovals map[string]time.Time
@@ -36,7 +44,7 @@
 }
 
 func newState(t Name) *state {
-	return &state{expires: t == Upstreams, items: make(map[string]Item), next: -1, pendingRemovals: make(map[string]time.Time), changed: make(chan struct{})}
+	return &state{expires: t == Upstreams, items: make(map[string]Item), next: -1, pendingRemovals: make(map[string]time.Time), removed: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
 // Handling of keys that are removed shortly after an outage of the store.
@@ -63,29 +71,86 @@
 	s.lastAnswer = now
 }
 
-// replaceAll applies a complete list of the topic and reports whether the known
-// records changed.
-func (s *state) replaceAll(p Page, now time.Time) bool {
+// position returns where the next read starts.
+func (s *state) position() Position { return Position{Era: s.era, Offset: s.next} }
+
+// order reports whether a listed record was written later than the known one.
+type order func(listed, known Item) bool
+
+// replaceAll applies a complete list of the topic in the known era and reports whether the
+// known records changed.
+func (s *state) replaceAll(p Page, now time.Time, supersedes order) bool {
 	changed := false
 	seen := make(map[string]bool, len(p.Items))
 	for _, it := range p.Items {
 		seen[it.Key] = true
-		if s.put(it) {
+		if (it.Offset >= s.certainFrom || s.mayTake(it, supersedes)) && s.put(it) {
 			changed = true
 		}
 	}
-	for key := range s.items {
-		if !seen[key] && s.remove(key, now) {
+	for key, it := range s.items {
+		// Records that the list cannot contain are not missing from it.
+		if !seen[key] && it.Era == p.Era && s.remove(key, now) {
 			changed = true
 		}
 	}
-	s.next = max(s.next, p.Next)
+	s.era, s.next = p.Era, max(s.next, p.Next)
 	// A key that is missing from the list was removed at an unknown offset, so there
 	// is no tombstone for it.
 	s.tombstones, s.tombstonesFrom = nil, s.next
 	return changed
 }
 
+// Times after the store has come back from a copy.
+const (
+	// rewriteTime is how long a record of a topic whose keys expire is kept that the copy does
+	// not have. Its writer writes it again within about 2 s, if it lives.
+	rewriteTime = 2200 * time.Millisecond
+	// removedTTL is how long a removed key is remembered, longer than a copy is old.
+	removedTTL = 5 * time.Minute
+)
+
+// restore applies the first list after the store has come back from a copy and reports whether
+// the known records changed. The copy is older than the known records, so it replaces one only
+// if supersedes says that the listed one was written since. What it does not have was not
+// removed: it is written again. What was written later than the list is certain again.
+func (s *state) restore(p Page, now time.Time, supersedes order) bool {
+	changed := false
+	seen := make(map[string]bool, len(p.Items))
+	for key, it := range s.items {
+		if it.Era >= p.Era {
+			// The store does not name its eras.
+			it.Era = p.Era - 1
+			s.items[key] = it
+		}
+	}
+	for _, it := range p.Items {
+		seen[it.Key] = true
+		if s.mayTake(it, supersedes) && s.put(it) {
+			changed = true
+		}
+	}
+	for key := range s.items {
+		if !seen[key] && s.expires {
+			s.pendingRemovals[key] = now.Add(rewriteTime)
+		}
+	}
+	s.era, s.next, s.certainFrom = p.Era, p.Next, p.Next
+	s.tombstones, s.tombstonesFrom = nil, s.next
+	return changed
+}
+
+// mayTake reports whether a listed record that may be from the copy replaces what is known of
+// its key.
+func (s *state) mayTake(it Item, supersedes order) bool {
+	known, ok := s.items[it.Key]
+	if !ok {
+		_, wasRemoved := s.removed[it.Key]
+		return !wasRemoved
+	}
+	return known.Era >= it.Era || bytes.Equal(it.Value, known.Value) || supersedes(it, known)
+}
+
 // applyRecords applies records that follow the known ones and reports whether the
 // known records changed.
 func (s *state) applyRecords(p Page, now time.Time) bool {
@@ -115,20 +180,20 @@
 	}
 }
 
-// recordsFrom returns the records from offset from on, or false if some of them
+// recordsFrom returns the records from position from on, or false if some of them
 // may be unknown.
-func (s *state) recordsFrom(from int64) (Page, bool) {
-	if from < s.tombstonesFrom || from < 0 {
+func (s *state) recordsFrom(from Position) (Page, bool) {
+	if from.Era != s.era || from.Offset < s.tombstonesFrom || from.Offset < 0 {
 		return Page{}, false
 	}
-	page := Page{Next: max(s.next, from)}
+	page := Page{Next: max(s.next, from.Offset), Era: s.era}
 	for _, it := range s.tombstones {
-		if it.Offset >= from {
+		if it.Offset >= from.Offset {
 			page.Items = append(page.Items, it)
 		}
 	}
 	for _, it := range s.items {
-		if it.Offset >= from {
+		if it.Era == s.era && it.Offset >= from.Offset {
 			page.Items = append(page.Items, it)
 		}
 	}
@@ -141,13 +206,25 @@
 		return false
 	}
 	delete(s.pendingRemovals, it.Key)
-	if old, ok := s.items[it.Key]; ok && old.Offset >= it.Offset {
+	if old, ok := s.items[it.Key]; ok && !old.position().before(it.position()) {
 		return false
 	}
 	s.items[it.Key] = it
+	delete(s.removed, it.Key)
 	return true
 }
 
+// drop forgets the record of a key.
+func (s *state) drop(key string, now time.Time) {
+	delete(s.items, key)
+	for k, at := range s.removed {
+		if now.Sub(at) > removedTTL {
+			delete(s.removed, k)
+		}
+	}
+	s.removed[key] = now
+}
+
 // remove removes a key and reports whether it did so. Shortly after an outage it
 // only schedules the removal, since the removal may be spurious.
 func (s *state) remove(key string, now time.Time) bool {
@@ -160,7 +237,7 @@
 		}
 		return false
 	}
-	delete(s.items, key)
+	s.drop(key, now)
 	return true
 }
 
@@ -171,7 +248,7 @@
 	for key, at := range s.pendingRemovals {
 		if !now.Before(at) {
 			delete(s.pendingRemovals, key)
-			delete(s.items, key)
+			s.drop(key, now)
 			changed = true
 		}
 	}
