Write records of our own again that a restored store has lost

When the store comes back from a copy, the member records, crash reports and quota checkpoints that were written since are gone, and nobody wrote them again: an instance that started later did not know the others, sent requests that had crashed upstreams, and took a busy team's quota for unused. An agent that started again then had a fencing token below that of its earlier start, since the token was the offset of its member record.

Every process now learns the store's era from the topics it follows and writes its records again when the era rises. A fencing token is the era and the offset of the member record. A read for which the relay has no answer, for example because it is in another era, waits for 0.55 s at most, since a long poll tells the era only when it ends.

TestOwnRecordsLostByRestoredStore fails on the code before in both parts, TestFenceAfterRestore orders tokens over eras.

--- a/internal/entryrpc/agent_topics.go
+++ b/internal/entryrpc/agent_topics.go
@@ -57,12 +57,12 @@
 func (a *AgentTopics) IsRelay(topicwatch.Name) bool { return false }
 
 // ReadFromRelay implements topicwatch.RelayReader. It waits up to agentTopicWait.
-func (a *AgentTopics) ReadFromRelay(ctx context.Context, t topicwatch.Name, from topicwatch.Position, _ time.Duration) (topicwatch.Page, bool) {
+func (a *AgentTopics) ReadFromRelay(ctx context.Context, t topicwatch.Name, from topicwatch.Position, _ time.Duration) (topicwatch.Page, topicwatch.RelayResult) {
 	a.mu.Lock()
 	addr, fresh := a.addr, time.Since(a.calledAt) <= callerTTL
 	a.mu.Unlock()
 	if addr == "" || !fresh {
-		return topicwatch.Page{}, false
+		return topicwatch.Page{}, topicwatch.NoRelay
 	}
 	callCtx, cancel := context.WithTimeout(ctx, agentTopicWait+relayReadMargin)
 	defer cancel()
@@ -72,9 +72,9 @@
 	}, &resp)
 	if err != nil || !resp.Known {
 		a.drop(addr)
-		return topicwatch.Page{}, false
+		return topicwatch.Page{}, topicwatch.RelayFailed
 	}
-	return resp.Page, true
+	return resp.Page, topicwatch.Relayed
 }
 
 // drop stops asking the instance at addr until it calls again.
--- a/internal/entryrpc/client.go
+++ b/internal/entryrpc/client.go
@@ -190,10 +190,10 @@
 var _ topicwatch.RelayReader = (*Client)(nil)
 
 // ReadFromRelay implements topicwatch.RelayReader.
-func (c *Client) ReadFromRelay(ctx context.Context, t topicwatch.Name, from topicwatch.Position, wait time.Duration) (topicwatch.Page, bool) {
+func (c *Client) ReadFromRelay(ctx context.Context, t topicwatch.Name, from topicwatch.Position, wait time.Duration) (topicwatch.Page, topicwatch.RelayResult) {
 	m, ok := c.relay(t)
 	if !ok {
-		return topicwatch.Page{}, false
+		return topicwatch.Page{}, topicwatch.NoRelay
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+relayReadMargin)
 	defer cancel()
@@ -205,9 +205,9 @@
 	err := c.peers.Call(callCtx, m.Addr, pathTopic, req, &resp)
 	if err != nil || !resp.Known {
 		c.markUnavailable(m.Addr)
-		return topicwatch.Page{}, false
+		return topicwatch.Page{}, topicwatch.RelayFailed
 	}
-	return resp.Page, true
+	return resp.Page, topicwatch.Relayed
 }
 
 // Read implements topicwatch.Source. It always returns all known records.
--- a/internal/managed/agent.go
+++ b/internal/managed/agent.go
@@ -32,7 +32,8 @@
 		return err
 	}
 	source := topicwatch.NewRelayedSource(store, topics, func(topicwatch.Name, time.Time) {})
-	follower := topicwatch.NewFollower(topicwatch.Options{Source: source, Decoder: platform.Decoder{}, Logger: logger, LongOperatorWait: true})
+	era := newStoreEra()
+	follower := topicwatch.NewFollower(topicwatch.Options{Source: source, Decoder: platform.Decoder{}, Logger: logger, LongOperatorWait: true, OnEra: era.set})
 	agent := engineagent.New(engineagent.Options{
 		Name: s.Instance, Service: s.Service, Engine: engine, Logger: logger, FirstStart: s.FirstStart, OnCaller: topics.NoteCaller,
 		Config: func() *fleet.Config {
@@ -57,12 +58,9 @@
 	p.run(ctx, "follow topics", func(ctx context.Context) { follower.Run(ctx, topicwatch.Operators) })
 	p.run(ctx, "watch settings", func(ctx context.Context) { p.watchSettings(ctx, store) })
 	p.run(ctx, "announce", func(ctx context.Context) {
-		// The offset of the member record is the fencing token of this agent's orders.
-		// Unlike a timestamp, it also increases across restarts, machine replacements
-		// and clock jumps.
-		agent.SetFence(1 + announce(ctx, store, fleet.Member{
+		announce(ctx, store, era, fleet.Member{
 			Name: s.Instance, Role: fleet.RoleAgent, DataCentre: s.DataCentre, Addr: s.PeerAddr(), UpstreamAddr: s.UpstreamAddr,
-		}, logger))
+		}, logger, func(p topicwatch.Position) { agent.SetFence(fence(p)) })
 	})
 	logger.Info("started", zap.String("role", "agent"), zap.String("upstream_addr", s.UpstreamAddr))
 	background.Run(ctx, logger, "agent", agent.Run)
--- a/internal/managed/announce.go
+++ b/internal/managed/announce.go
@@ -16,23 +16,32 @@
 // announceRetry is the delay between two attempts to announce a process.
 const announceRetry = 400 * time.Millisecond
 
-// announce writes the member record of this process, retrying until the store
-// accepts it, and returns the record's offset. The offset is higher than that
-// of any earlier start.
-func announce(ctx context.Context, store *platform.Store, m fleet.Member, logger *zap.Logger) int64 {
+// announce writes the member record of this process, retrying until the store accepts it, and
+// again whenever the store has come back from a copy, until ctx ends. It calls announced with
+// the position of each record, which is after those of earlier starts.
+func announce(ctx context.Context, store *platform.Store, era *storeEra, m fleet.Member, logger *zap.Logger, announced func(topicwatch.Position)) {
 	value, err := json.Marshal(m)
 	if err != nil {
 		logger.Error("cannot encode member record", telemetry.Err(err))
-		return 0
+		return
 	}
 	for ctx.Err() == nil {
-		offset, err := store.Put(ctx, topicwatch.Members, m.Name, value)
-		if err == nil {
-			logger.Info("announced", zap.Int64("offset", offset), zap.String("addr", m.Addr))
-			return offset
+		position, err := store.Put(ctx, topicwatch.Members, m.Name, value)
+		if err != nil {
+			logger.Warn("cannot write member record, retrying", telemetry.Err(err))
+			sleep(ctx, announceRetry)
+			continue
 		}
-		logger.Warn("cannot write member record, retrying", telemetry.Err(err))
-		sleep(ctx, announceRetry)
+		logger.Info("announced", zap.Int64("era", position.Era), zap.Int64("offset", position.Offset), zap.String("addr", m.Addr))
+		announced(position)
+		era.waitAfter(ctx, position.Era)
 	}
-	return 0
 }
+
+// eraFenceBits is the number of bits of a fencing token for the offset, far more than records
+// are written in an era.
+const eraFenceBits = 40
+
+// fence returns the fencing token of an agent's orders from the position of its member record.
+// Unlike a timestamp, it increases across restarts, machine replacements and clock jumps.
+func fence(p topicwatch.Position) int64 { return p.Era<<eraFenceBits + p.Offset + 1 }
--- a/internal/managed/crash_reports.go
+++ b/internal/managed/crash_reports.go
@@ -52,7 +52,7 @@
 
 // crashStore is the part of the platform's store that crashReports uses.
 type crashStore interface {
-	Put(ctx context.Context, t topicwatch.Name, key string, value []byte) (int64, error)
+	Put(ctx context.Context, t topicwatch.Name, key string, value []byte) (topicwatch.Position, error)
 }
 
 // crashSender sends a report to the other entry instances and returns how many have not taken
--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -32,6 +32,7 @@
 	logger       *zap.Logger
 	lifecycle    *lifecycle.Machine
 	store        *platform.Store
+	era          *storeEra
 	entryClient  *entryrpc.Client
 	follower     *topicwatch.Follower
 	pool         *upstream.Pool
@@ -49,7 +50,7 @@
 // RunEntry runs an entry instance until ctx ends, and then drains it.
 func RunEntry(ctx context.Context, p *Process) error {
 	s, logger := p.Settings, p.Logger
-	e := &entry{settings: s, logger: logger, lifecycle: lifecycle.New(), metrics: metrics.NewSet()}
+	e := &entry{settings: s, logger: logger, lifecycle: lifecycle.New(), era: newStoreEra(), metrics: metrics.NewSet()}
 	if err := e.assemble(); err != nil {
 		return err
 	}
@@ -70,9 +71,9 @@
 	p.run(jobs, "request store loads", e.requestStoreLoads)
 	p.run(jobs, "watch settings", func(ctx context.Context) { p.watchSettings(ctx, e.store) })
 	p.run(jobs, "announce", func(ctx context.Context) {
-		announce(ctx, e.store, fleet.Member{
+		announce(ctx, e.store, e.era, fleet.Member{
 			Name: s.Instance, Role: fleet.RoleEntry, DataCentre: s.DataCentre, Addr: s.PeerAddr(), CPUShare: s.CPUShare,
-		}, logger)
+		}, logger, func(topicwatch.Position) {})
 	})
 	logger.Info("started", zap.String("role", "entry"), zap.Bool("first_start", s.FirstStart))
 	e.waitReady(ctx)
@@ -110,6 +111,11 @@
 	e.follower = topicwatch.NewFollower(topicwatch.Options{
 		Source:   topicwatch.NewRelayedSource(e.store, e.entryClient, func(t topicwatch.Name, at time.Time) { e.follower.MarkStoreRead(t, at) }),
 		Fallback: e.entryClient, Decoder: platform.Decoder{}, Logger: e.logger, OnRecords: e.crashReports.apply,
+		OnEra: func(era int64) {
+			e.era.set(era)
+			crashes.Republish()
+			e.quota.RequestCheckpoint()
+		},
 		OnChange: func(v *fleet.View) {
 			crashes.SetInstances(v.EntryRank(s.Instance), v.EntryCount())
 			e.gateway.Update(v)
--- /dev/null
+++ b/internal/managed/restored_test.go
@@ -0,0 +1,45 @@
+package managed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jacinthbend/jacinthbend/internal/topicwatch"
+	"github.com/jacinthbend/jacinthbend/platform/platformtest"
+)
+
+// TestOwnRecordsLostByRestoredStore guards against records of the system's own processes that
+// the store has lost because it came back from a copy, and that nobody writes again: members,
+// crash reports and quota checkpoints. An instance that starts later would miss them.
+func TestOwnRecordsLostByRestoredStore(t *testing.T) {
+	own := []string{platformtest.MemberTopic, platformtest.CrashTopic, platformtest.SpendingTopic}
+	t.Run("entry and agent", func(t *testing.T) {
+		c := newTestCluster(t)
+		c.eventually("both announced", func() bool { return c.store.Keys(platformtest.MemberTopic) == 2 })
+		for range 2 {
+			c.store.Restore(own...)
+			c.eventually("both announced again", func() bool { return c.store.Keys(platformtest.MemberTopic) == 2 })
+			c.eventually("checkpoint written again", func() bool { return c.store.Keys(platformtest.SpendingTopic) == 1 })
+		}
+	})
+	t.Run("crash reports", func(t *testing.T) {
+		c := newCrashCluster(t, 2, 4)
+		c.eventually("a report written", func() bool { c.sendAgain(0); return c.store.Keys(platformtest.CrashTopic) > 0 })
+		<-time.After(time.Second) // the last report is written
+		c.store.Restore(own...)
+		c.eventually("the report written again", func() bool { return c.store.Keys(platformtest.CrashTopic) > 0 })
+	})
+}
+
+// TestFenceAfterRestore guards against an agent whose orders have a lower fencing token than
+// those of its earlier start, because the store has come back from a copy between.
+func TestFenceAfterRestore(t *testing.T) {
+	check := is.New(t)
+	last := int64(0)
+	for _, p := range []topicwatch.Position{{Era: 0, Offset: 0}, {Era: 0, Offset: 7}, {Era: 1, Offset: 0}, {Era: 1, Offset: 1 << 30}, {Era: 2, Offset: 0}} {
+		check.True(fence(p) > last)
+		last = fence(p)
+	}
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -283,6 +283,15 @@
 	return 0
 }
 
+// Republish makes Changed report a change if this instance has reported anything.
+func (t *Table) Republish() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.own) > 0 {
+		t.signal()
+	}
+}
+
 func (t *Table) signal() {
 	select {
 	case t.changed <- struct{}{}:
--- a/internal/tokenquota/checkpoint.go
+++ b/internal/tokenquota/checkpoint.go
@@ -108,6 +108,9 @@
 	}
 }
 
+// RequestCheckpoint makes a checkpoint due, because the store may have lost the last one.
+func (l *Limiter) RequestCheckpoint() { l.signalCheckpoint() }
+
 // aboveThreshold reports whether the spent part of the share has reached
 // checkpointThreshold, the part that a restart without a checkpoint assumes.
 func (l *Limiter) aboveThreshold(q *teamQuota, now time.Time) bool {
--- a/internal/topicwatch/follower.go
+++ b/internal/topicwatch/follower.go
@@ -22,6 +22,7 @@
 	logger           *zap.Logger
 	onChange         func(*fleet.View)
 	onRecords        func(t Name, items []Item, isNew bool)
+	onEra            func(era int64)
 	longOperatorWait bool
 
 	view atomic.Pointer[fleet.View]
@@ -34,6 +35,8 @@
 	// between two views.
 	decoded map[Name]map[string]decodedItem
 	config  *fleet.Config
+	// era is the newest of any topic; -1 before the first answer.
+	era int64
 }
 
 type decodedItem struct {
@@ -53,6 +56,9 @@
 	LongOperatorWait bool
 	// OnChange is called with each new view, one call at a time.
 	OnChange func(*fleet.View)
+	// OnEra is called when the store's era is first known and each time it has risen; it may
+	// be nil, and must not block.
+	OnEra func(era int64)
 	// OnRecords is called with the records of each answer for a topic that is no part of the
 	// view, one call at a time; it may be nil. The first answer may have none. isNew tells
 	// that they were written after those of the last answer.
@@ -62,8 +68,8 @@
 // NewFollower returns a follower without records; Run reads them.
 func NewFollower(o Options) *Follower {
 	f := &Follower{
-		source: o.Source, fallback: o.Fallback, decoder: o.Decoder, logger: o.Logger, onChange: o.OnChange, onRecords: o.OnRecords, longOperatorWait: o.LongOperatorWait,
-		states: make(map[Name]*state), decoded: make(map[Name]map[string]decodedItem),
+		source: o.Source, fallback: o.Fallback, decoder: o.Decoder, logger: o.Logger, onChange: o.OnChange, onRecords: o.OnRecords, onEra: o.OnEra, longOperatorWait: o.LongOperatorWait,
+		era: -1, states: make(map[Name]*state), decoded: make(map[Name]map[string]decodedItem),
 	}
 	for _, t := range []Name{Operators, Upstreams, Members, Crashes} {
 		f.states[t] = newState(t)
@@ -252,6 +258,11 @@
 	default:
 		changed = s.replaceAll(page, now, supersedes)
 	}
+	if page.Era > f.era {
+		if f.era = page.Era; f.onEra != nil {
+			f.onEra(page.Era)
+		}
+	}
 	changed = s.removeDue(now) || changed
 	if changed || first {
 		close(s.changed)
--- a/internal/topicwatch/relayed_source.go
+++ b/internal/topicwatch/relayed_source.go
@@ -9,14 +9,26 @@
 // store on behalf of this one.
 type RelayReader interface {
 	// ReadFromRelay returns the records from position from on that the relay has read
-	// from the store. If there are none, it waits up to wait for one. It returns
-	// false if this instance has no relay, or the relay does not answer, does not have all
-	// of these records or is in another era.
-	ReadFromRelay(ctx context.Context, t Name, from Position, wait time.Duration) (Page, bool)
+	// from the store. If there are none, it waits up to wait for one.
+	ReadFromRelay(ctx context.Context, t Name, from Position, wait time.Duration) (Page, RelayResult)
 	// IsRelay reports whether other instances read a topic from this one.
 	IsRelay(t Name) bool
 }
 
+// RelayResult is the result of a read from the relay.
+type RelayResult int
+
+// Results of reads from the relay.
+const (
+	// NoRelay means that this instance reads the store itself.
+	NoRelay RelayResult = iota
+	// RelayFailed means that the relay does not answer, does not have all of the records or is
+	// in another era.
+	RelayFailed
+	// Relayed means that the page has the records.
+	Relayed
+)
+
 // relayWait is how long a read from the relay waits for records. It is just below
 // the interval of upstreamSchedule, so the next read starts soon after one ends.
 const relayWait = 550 * time.Millisecond
@@ -56,9 +68,14 @@
 		if t == Crashes {
 			atRelay = wait
 		}
-		if page, ok := r.relay.ReadFromRelay(ctx, t, from, atRelay); ok {
+		page, result := r.relay.ReadFromRelay(ctx, t, from, atRelay)
+		switch result {
+		case Relayed:
 			r.onStoreRead(t, time.Now().Add(-time.Duration(page.AgeMS)*time.Millisecond))
 			return page, nil
+		case RelayFailed:
+			// The store may be in another era, which a long poll tells only when it ends.
+			wait = min(wait, relayWait)
 		}
 	}
 	if r.relay.IsRelay(t) {
--- a/internal/topicwatch/relayed_source_test.go
+++ b/internal/topicwatch/relayed_source_test.go
@@ -21,15 +21,18 @@
 
 func (r *linkedReader) IsRelay(Name) bool { return false }
 
-func (r *linkedReader) ReadFromRelay(ctx context.Context, t Name, from Position, wait time.Duration) (Page, bool) {
+func (r *linkedReader) ReadFromRelay(ctx context.Context, t Name, from Position, wait time.Duration) (Page, RelayResult) {
 	if t == Operators && !r.operators {
-		return Page{}, false
+		return Page{}, NoRelay
 	}
 	if r.cut.Load() {
 		sleep(ctx, wait)
-		return Page{}, false
+		return Page{}, RelayFailed
 	}
-	return r.other.ReadLocal(ctx, t, from, wait, MaxStaleness)
+	if page, ok := r.other.ReadLocal(ctx, t, from, wait, MaxStaleness); ok {
+		return page, Relayed
+	}
+	return Page{}, RelayFailed
 }
 
 // runRelayed runs a follower that reads the store and a second one that uses the
@@ -64,8 +67,8 @@
 
 func (noRelay) IsRelay(Name) bool { return true }
 
-func (noRelay) ReadFromRelay(context.Context, Name, Position, time.Duration) (Page, bool) {
-	return Page{}, false
+func (noRelay) ReadFromRelay(context.Context, Name, Position, time.Duration) (Page, RelayResult) {
+	return Page{}, NoRelay
 }
 
 // TestRelayedRead guards against an instance that reads from a relay and goes on
