Send a request that an upstream has had before on a new connection

An upstream that refuses a request because it is unloading the model gets it again after the load. If the connection of the refusal had carried another request meanwhile, it was used again, and a second copy of the refusal counted as the answer: the request was sent a third time and ran twice, or its caller was told that it had not run while it did.

Only the last request on a connection was kept apart.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,6 +32,7 @@
 	r.query.Tried[id] = true
 	r.eventsBefore = r.events.Events
 	r.crashFinding = "not checked"
+	again := slices.Contains(r.upstreams, id)
 	r.upstreams = append(r.upstreams, id)
 	r.estimatedTTFT = choice.Delay
 	if r.firstSentAt.IsZero() {
@@ -42,7 +44,7 @@
 	defer detector.stop()
 	resp, err := r.g.UpstreamClient.Do(detector.ctx, choice.Upstream.Addr, &upstreamclient.Request{
 		Method: r.method, URI: r.uri, Host: r.host, Header: r.g.Dialect.ForwardHeader(r.header, r.forwardAttributes(choice)),
-		Body: r.body, ID: r.attrs.RequestID, FreshConn: !r.route.Retryable(),
+		Body: r.body, ID: r.attrs.RequestID, FreshConn: !r.route.Retryable(), NewConn: again,
 	})
 	if err != nil {
 		return r.attemptFailed(ctx, detector, choice, ticket, err)
--- a/internal/gateway/fake_loader_test.go
+++ b/internal/gateway/fake_loader_test.go
@@ -19,6 +19,8 @@
 	callerGone chan struct{}
 	// blocked tells that a load is or was blocked.
 	blocked bool
+	// hold, if set, makes the next load take until it is closed.
+	hold chan struct{}
 	// permitDelay is when the next permit for an engine is free.
 	permitDelay time.Duration
 	permits     int
@@ -48,6 +50,15 @@
 	return func() { close(block) }, l.callerGone
 }
 
+// holdLoad makes the next load that a request waits for take until release is called.
+func (l *fakeLoader) holdLoad() (release func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	hold := make(chan struct{})
+	l.hold = hold
+	return func() { close(hold) }
+}
+
 func (l *fakeLoader) isBlocked() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -63,7 +74,14 @@
 	} else {
 		block = nil
 	}
+	var hold chan struct{}
+	if !req.Background && l.hold != nil {
+		hold, l.hold, l.blocked = l.hold, nil, true
+	}
 	l.mu.Unlock()
+	if hold != nil {
+		<-hold
+	}
 	if block != nil {
 		<-ctx.Done()
 		close(callerGone)
--- a/internal/upstreamclient/client.go
+++ b/internal/upstreamclient/client.go
@@ -165,7 +165,7 @@
 
 // get returns an idle connection that is still open, or a new one.
 func (c *Client) get(ctx context.Context, addr string, r *Request) (*conn, error) {
-	for {
+	for !r.NewConn {
 		cn := c.takeIdle(addr, r)
 		if cn == nil {
 			break
--- a/internal/upstreamclient/conn.go
+++ b/internal/upstreamclient/conn.go
@@ -56,9 +56,8 @@
 	return c.SetReadDeadline(time.Time{}) == nil && complete
 }
 
-// mayCarry reports whether an idle connection may be used for r. A request that is
-// sent again needs another connection: a late second copy of the response to its
-// earlier attempt would carry the expected id.
+// mayCarry reports whether an idle connection may be used for r, which is not the last request
+// that it carried: a late second copy of that response would carry the expected id.
 func (c *conn) mayCarry(r *Request, now time.Time) bool {
 	idle := now.Sub(c.idleSince)
 	return c.lastID != r.ID && idle < c.maxIdle() && (!r.FreshConn || idle <= freshMaxIdle)
--- a/internal/upstreamclient/request.go
+++ b/internal/upstreamclient/request.go
@@ -20,6 +20,9 @@
 	// FreshConn asks for a connection that the upstream is certainly not about to
 	// close: a new one, or one that has been idle for at most freshMaxIdle.
 	FreshConn bool
+	// NewConn asks for a new connection. A request that this upstream has had before needs one:
+	// a late second copy of the earlier response would carry the expected id.
+	NewConn bool
 }
 
 // writeHeader writes the request line and the header. The body always gets a
