Wait for a slow start of dev, and probe with a team of its own

The start had a limit of 15 s, and the requests that find out whether the fleet serves were charged to the team that the user is given. Now they have a team and a key of their own, each 15 s without a served request is logged as a warning, and the start ends early only if an instance fails.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -19,6 +19,7 @@
 	"github.com/jacinthbend/jacinthbend/internal/operator"
 	"github.com/jacinthbend/jacinthbend/internal/settings"
 	"github.com/jacinthbend/jacinthbend/internal/standin"
+	"github.com/jacinthbend/jacinthbend/internal/telemetry"
 )
 
 const (
@@ -28,7 +29,7 @@
 	storeLoadsPerS     = 1.6
 	storeLoads         = 4
 	storeTransferTime  = 300 * time.Millisecond
-	startTimeout       = 15 * time.Second
+	provisionTimeout   = time.Minute
 	standInStopTimeout = 200 * time.Millisecond
 )
 
@@ -58,7 +59,9 @@
 // stops when ctx ends.
 func Start(ctx context.Context, logger *zap.Logger) (*Fleet, error) {
 	standInCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	f := &Fleet{Key: demoKey, OperatorToken: demoOperatorToken, Model: demoModel, nodes: &errgroup.Group{}, standIns: &errgroup.Group{}, stopStandIns: stop}
+	f := &Fleet{Key: demoKey, OperatorToken: demoOperatorToken, Model: demoModel, standIns: &errgroup.Group{}, stopStandIns: stop}
+	var nodesCtx context.Context
+	f.nodes, nodesCtx = errgroup.WithContext(ctx)
 	platformAddr, err := f.startPlatform(standInCtx)
 	if err != nil {
 		return nil, err
@@ -73,26 +76,35 @@
 	if err := f.provision(ctx, platformAddr); err != nil {
 		return f, err
 	}
-	return f, f.waitUntilServing(ctx)
+	return f, f.waitUntilServing(nodesCtx, slowStart, logger)
 }
 
-// servingPollInterval is the interval of the test requests to a starting fleet.
-const servingPollInterval = 100 * time.Millisecond
+const (
+	// servingPollInterval is the interval of the test requests to a starting fleet.
+	servingPollInterval = 100 * time.Millisecond
+	// slowStart is the interval of the warnings that the fleet has not served a request yet.
+	slowStart = 15 * time.Second
+)
 
-// waitUntilServing sends requests until one succeeds. The entry instance refuses
-// every request until it can spend the team's budget and the model is loaded,
-// which takes some seconds after the instance has joined.
-func (f *Fleet) waitUntilServing(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
+// waitUntilServing sends requests until one succeeds, or ctx ends because an instance has
+// failed. The entry instance refuses every request until it can spend the team's budget
+// and the model is loaded, which takes some seconds after the instance has joined, and
+// longer on a busy machine.
+func (f *Fleet) waitUntilServing(ctx context.Context, warnEvery time.Duration, logger *zap.Logger) error {
+	start := time.Now()
+	warned := start
 	for {
-		err := f.SendRequest(ctx, io.Discard)
+		err := f.sendRequest(ctx, probeKey, io.Discard)
 		if err == nil {
 			return nil
 		}
+		if time.Since(warned) >= warnEvery {
+			warned = time.Now()
+			logger.Warn("no request has been served yet, still waiting", zap.Duration("since_start", time.Since(start)), telemetry.Err(err))
+		}
 		select {
 		case <-ctx.Done():
-			return errors.Wrap(err, "no request was served before the start timeout")
+			return errors.Wrapf(context.Cause(ctx), "stopped before a request was served (%v)", err)
 		case <-time.After(servingPollInterval):
 		}
 	}
@@ -180,7 +192,7 @@
 // provision publishes the demonstration configuration. The planner of the entry
 // instance then assigns its models to engines.
 func (f *Fleet) provision(ctx context.Context, platformAddr string) error {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	ctx, cancel := context.WithTimeout(ctx, provisionTimeout)
 	defer cancel()
 	log, err := httpapi.NewLog(platformAddr, time.Second)
 	if err != nil {
--- a/internal/dev/request.go
+++ b/internal/dev/request.go
@@ -28,6 +28,10 @@
 
 // SendRequest sends one streamed request through the fleet and writes its text to out.
 func (f *Fleet) SendRequest(ctx context.Context, out io.Writer) error {
+	return f.sendRequest(ctx, f.Key, out)
+}
+
+func (f *Fleet) sendRequest(ctx context.Context, key string, out io.Writer) error {
 	hc, err := peer.NewHTTPClient(requestTimeout, true)
 	if err != nil {
 		return err
@@ -41,7 +45,7 @@
 	}
 	req.SetMethod(consts.MethodPost)
 	req.SetRequestURI("http://" + f.CallerAddr + "/v1/completions")
-	req.Header.Set("Authorization", "Bearer "+f.Key)
+	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.SetContentTypeBytes([]byte("application/json"))
 	req.SetBody(body)
 	if err := hc.Do(ctx, req, resp); err != nil {
