Go on accepting connections after one could not be accepted

An instance whose descriptors were used up for a moment accepted no connection any more, while it still said that it was ready.

Cause: the standard transport, in use since, ends with the first error of Accept, and nobody looked at what Run returned. netpoll had waited and tried again.

TestServerOutOfDescriptors fails before: "the server has ended: accept tcp: accept4: too many open files".

--- a/internal/managed/agent.go
+++ b/internal/managed/agent.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	startServers(peers, operators)
+	startServers(p.Logger, peers, operators)
 	p.run(ctx, "follow topics", func(ctx context.Context) { follower.Run(ctx, topicwatch.Operators) })
 	p.run(ctx, "watch settings", func(ctx context.Context) { p.watchSettings(ctx, store) })
 	p.run(ctx, "announce", func(ctx context.Context) {
--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return err
 	}
-	startServers(callers, ready, peers, operators)
+	startServers(e.logger, callers, ready, peers, operators)
 	return nil
 }
 
--- a/internal/managed/listeners.go
+++ b/internal/managed/listeners.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/jacinthbend/jacinthbend/internal/peer"
 	"github.com/jacinthbend/jacinthbend/internal/telemetry"
@@ -34,9 +35,13 @@
 }
 
 // startServers runs servers in the background until the process ends.
-func startServers(servers ...*server.Hertz) {
+func startServers(logger *zap.Logger, servers ...*server.Hertz) {
 	for _, s := range servers {
-		go func() { _ = s.Run() }()
+		go func() {
+			if err := s.Run(); err != nil {
+				logger.Error("a listener has ended", telemetry.Err(err))
+			}
+		}()
 	}
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -52,7 +52,7 @@
 // canceled when the client disconnects.
 func NewServer(ln net.Listener, o ServerOptions) *server.Hertz {
 	options := []config.Option{
-		server.WithListener(ln),
+		server.WithListener(listener{ln}),
 		// The netpoll transport waits in a blocking system call, which on one core can keep
 		// the other goroutines from running for a long time.
 		server.WithTransport(standard.NewTransporter),
