End the read that senses disconnections before its buffer is released

While a request is handled, hertz's standard transport reads ahead on its connection, to notice that the caller leaves. If the response then fails, for example because the caller does not read it, the server releases the connection's buffer while the read goes on. The buffer goes back to a pool that all connections share, so that bytes of one caller could appear in the request of another.

Change: our own wrapper of the connection reads ahead, with the two methods that hertz looks for, and ends the read before a release. TestReadIntoReleasedBuffer fails before under the race detector; three runs of the package, twice each, pass now.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -13,7 +13,6 @@
 	"github.com/cloudwego/hertz/pkg/app/middlewares/server/recovery"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"go.uber.org/zap"
 
 	"github.com/jacinthbend/jacinthbend/internal/background"
@@ -53,10 +52,7 @@
 func NewServer(ln net.Listener, o ServerOptions) *server.Hertz {
 	options := []config.Option{
 		server.WithListener(listener{ln}),
-		// The netpoll transport waits in a blocking system call, which on one core can keep
-		// the other goroutines from running for a long time.
-		server.WithTransport(standard.NewTransporter),
-		server.WithSenseClientDisconnection(true),
+		server.WithTransport(newTransport),
 		server.WithMaxRequestBodySize(o.MaxBodyBytes),
 		server.WithMaxHeaderBytes(maxHeaderBytes),
 		server.WithIdleTimeout(idleTimeout),
