Contain a panic outside the handlers of a server

A panic while a request is parsed or a response is written would have ended the process: the standard transport runs each connection in a goroutine of its own without a recovery, and that of the server covers only its handlers. netpoll had recovered such panics.

TestPanicOutsideHandler ends the test process before. No message is known that makes hertz panic.

--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -6,6 +6,9 @@
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+	"go.uber.org/zap"
+
+	"github.com/jacinthbend/jacinthbend/internal/background"
 )
 
 // transport is hertz's standard transport with connections that sense disconnections. Its
@@ -22,6 +25,10 @@
 	return t.Transporter.ListenAndServe(func(ctx context.Context, c any) error {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
-		return serve(ctx, &watchedConn{Conn: c.(network.Conn), disconnected: cancel})
+		conn := &watchedConn{Conn: c.(network.Conn), disconnected: cancel}
+		var err error
+		// The recovery of the server covers only its handlers.
+		background.Call(zap.L(), "connection", func() { err = serve(ctx, conn) })
+		return err
 	})
 }
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -9,6 +10,8 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/matryer/is"
+
+	"github.com/jacinthbend/jacinthbend/internal/peer"
 )
 
 // TestReadIntoReleasedBuffer guards against a read that senses disconnections and goes on with
@@ -38,3 +41,34 @@
 type zeros struct{}
 
 func (zeros) Read(b []byte) (int, error) { return len(b), nil }
+
+// panickingListener accepts connections from which reading panics.
+type panickingListener struct{ net.Listener }
+
+func (l panickingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return panickingConn{c}, err
+}
+
+type panickingConn struct{ net.Conn }
+
+func (panickingConn) Read([]byte) (int, error) { panic("a test panic") }
+
+// TestPanicOutsideHandler guards against a panic while a request is parsed that ends the
+// process.
+func TestPanicOutsideHandler(t *testing.T) {
+	check := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	check.NoErr(err)
+	h := peer.NewServer(panickingListener{ln}, peer.ServerOptions{MaxBodyBytes: 1 << 20})
+	go func() { _ = h.Run() }()
+	t.Cleanup(func() { _ = h.Close() })
+	c, err := net.Dial("tcp", ln.Addr().String())
+	check.NoErr(err)
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	check.NoErr(err)
+	check.NoErr(c.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	_, err = io.ReadAll(c)
+	var timeout net.Error
+	check.True(!errors.As(err, &timeout) || !timeout.Timeout()) // the connection is closed
+}
