Count the time for a request from its first byte on new connections too

A caller that opened a connection ahead of its first request lost it after 30 s: with the standard transport the limit of a request counted from the moment of the connection, and only for later requests from their first byte. Now a new connection waits for its first byte like an idle one, for up to two minutes.

TestConnectionOpenedAheadOfRequest fails before with an unexpected end.

--- a/internal/peer/read_limit_test.go
+++ b/internal/peer/read_limit_test.go
@@ -63,3 +63,25 @@
 		})
 	}
 }
+
+// TestConnectionOpenedAheadOfRequest guards against closing a connection whose first request
+// begins later than a request may take: the limit counts from its first byte.
+func TestConnectionOpenedAheadOfRequest(t *testing.T) {
+	const limit = 200 * time.Millisecond
+	check := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	check.NoErr(err)
+	h := NewServer(ln, ServerOptions{MaxBodyBytes: 1 << 20, ReadLimit: limit})
+	h.Any("/*path", func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "ok") })
+	go func() { _ = h.Run() }()
+	t.Cleanup(func() { _ = h.Close() })
+	c, err := net.Dial("tcp", ln.Addr().String())
+	check.NoErr(err)
+	defer func() { _ = c.Close() }()
+	<-time.After(2 * limit)
+	_, err = c.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+	check.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	check.NoErr(err)
+	check.Equal(resp.StatusCode, http.StatusOK)
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network"
@@ -14,10 +15,15 @@
 // transport is hertz's standard transport with connections that sense disconnections. Its
 // netpoll transport waits in a blocking system call, which on one core can keep the other
 // goroutines from running for a long time.
-type transport struct{ network.Transporter }
+type transport struct {
+	network.Transporter
+	// idleTimeout bounds the time until the first byte of a connection, and readTimeout the
+	// time between two bytes of its first request. Hertz sets them only after that request.
+	idleTimeout, readTimeout time.Duration
+}
 
 func newTransport(o *config.Options) network.Transporter {
-	return transport{standard.NewTransporter(o)}
+	return transport{standard.NewTransporter(o), o.IdleTimeout, o.ReadTimeout}
 }
 
 // ListenAndServe implements network.Transporter.
@@ -28,7 +34,26 @@
 		conn := &watchedConn{Conn: c.(network.Conn), disconnected: cancel}
 		var err error
 		// The recovery of the server covers only its handlers.
-		background.Call(zap.L(), "connection", func() { err = serve(ctx, conn) })
+		panicked := background.Call(zap.L(), "connection", func() {
+			if t.awaitRequest(conn) {
+				err = serve(ctx, conn)
+			}
+		})
+		if panicked {
+			_ = conn.Close()
+		}
 		return err
 	})
 }
+
+// awaitRequest waits for the first byte of a connection, since the limit of a request counts
+// from there. It closes the connection and returns false if none comes.
+func (t transport) awaitRequest(c network.Conn) bool {
+	_ = c.SetReadTimeout(t.idleTimeout)
+	if _, err := c.Peek(1); err != nil {
+		_ = c.Close()
+		return false
+	}
+	_ = c.SetReadTimeout(t.readTimeout)
+	return true
+}
