Do not take a second copy of an engine's answer for the next one

A second copy of an engine's report, sent late on the kept connection, was read as the answer to the next order: the agent took the model for loaded, and from then on each call got the answer of the call before.

Change: a strict HTTP client looks for unread bytes, for at most 0.1 ms, before it sends a request on a connection that has carried another.

--- a/internal/peer/bounded_conn.go
+++ b/internal/peer/bounded_conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"net"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/network"
@@ -13,8 +14,21 @@
 	errHeadTooLong     = errors.Errorf("the response header or trailer exceeds %d bytes or arrives in more than %d parts", maxHeaderBytes, maxPeeks)
 )
 
+// ErrConnUnusable is the error of a strict client whose request was not sent, because the
+// connection had ended or had bytes that belong to no response. Another call uses another
+// connection.
+var ErrConnUnusable = errors.New("the connection has ended or has bytes that belong to no response")
+
+// surplusWait is how long a strict connection waits for bytes that belong to no response.
+// Bytes that have arrived are there at once.
+const surplusWait = 100 * time.Microsecond
+
 // boundedDialer opens connections that limit the length of each response.
-type boundedDialer struct{ network.Dialer }
+type boundedDialer struct {
+	network.Dialer
+	// strict makes the connections check for bytes that belong to no response.
+	strict bool
+}
 
 // DialConnection implements network.Dialer.
 func (d boundedDialer) DialConnection(network, addr string, timeout time.Duration, c *tls.Config) (network.Conn, error) {
@@ -22,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &boundedConn{Conn: conn}, nil
+	return &boundedConn{Conn: conn, strict: d.strict}, nil
 }
 
 // boundedConn fails reads once the response to the last request is longer than
@@ -35,6 +49,9 @@
 	// peeks is how often hertz has waited for more bytes since it last read any. For a
 	// body it waits once at most, for a header or trailer after each part that arrives.
 	peeks int
+	// strict makes Flush fail if bytes have arrived that belong to no response. used tells
+	// that there was a request before.
+	strict, used bool
 }
 
 // maxPeeks limits the parts in which a header or trailer may arrive, since hertz parses
@@ -48,10 +65,23 @@
 
 // Flush sends a request, after which a new response is due.
 func (c *boundedConn) Flush() error {
-	c.consumed, c.peeks = 0, 0
+	if c.strict && c.used && c.hasSurplus() {
+		return ErrConnUnusable
+	}
+	c.consumed, c.peeks, c.used = 0, 0, true
 	return c.Conn.Flush()
 }
 
+// hasSurplus reports whether the connection has unread bytes, or has ended.
+func (c *boundedConn) hasSurplus() bool {
+	if c.Conn.SetReadTimeout(surplusWait) != nil {
+		return true
+	}
+	_, err := c.Conn.Peek(1)
+	var timeout net.Error
+	return err == nil || !(errors.As(err, &timeout) && timeout.Timeout())
+}
+
 func (c *boundedConn) check() error {
 	if c.consumed+c.Conn.Len() > maxResponseBytes {
 		return errResponseTooLong
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/netpoll"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -46,12 +47,23 @@
 // NewHTTPClient returns a hertz client with timeouts and connection limits. If
 // stream is set, response bodies are streamed instead of buffered and not limited.
 func NewHTTPClient(readTimeout time.Duration, stream bool) (*client.Client, error) {
-	var mu sync.Mutex
-	dialer := netpoll.NewDialer()
-	if !stream {
-		// A connection of netpoll reads ahead of its consumer without a limit.
-		dialer = boundedDialer{standard.NewDialer()}
+	if stream {
+		return newHTTPClient(netpoll.NewDialer(), readTimeout, stream)
 	}
+	// A connection of netpoll reads ahead of its consumer without a limit.
+	return newHTTPClient(boundedDialer{Dialer: standard.NewDialer()}, readTimeout, stream)
+}
+
+// NewStrictHTTPClient returns a client like NewHTTPClient without streams that does not send a
+// request on a connection on which bytes have arrived that belong to no response, such as a
+// second copy of the last one. The call fails with ErrConnUnusable instead. Looking for such
+// bytes takes up to surplusWait for each request.
+func NewStrictHTTPClient(readTimeout time.Duration) (*client.Client, error) {
+	return newHTTPClient(boundedDialer{Dialer: standard.NewDialer(), strict: true}, readTimeout, false)
+}
+
+func newHTTPClient(dialer network.Dialer, readTimeout time.Duration, stream bool) (*client.Client, error) {
+	var mu sync.Mutex
 	hc, err := client.NewClient(
 		client.WithDialer(dialer),
 		client.WithHostClientConfigHook(func(hc any) error {
