Drop a record that the copy lacked and nobody has written again

An instance that had missed the removal of a record, because the removal had expired in the store, kept the record for good if the store had come back from a copy without it in between: an evacuation that had ended stayed in force until the instance was restarted.

Cause: a list did not remove records of an earlier era, since the copy may lack what is still to be written again. Now it does from 30 s after the restore on. TestRestoredStoreRemovalExpired fails before.

--- a/internal/topicwatch/restored_test.go
+++ b/internal/topicwatch/restored_test.go
@@ -183,3 +183,28 @@
 		}
 	})
 }
+
+// TestRestoredStoreRemovalExpired guards against a record that stays in force for good if the
+// copy lacks it and its removal has expired before it was read, and against dropping it before
+// its writer had the time to write it again.
+func TestRestoredStoreRemovalExpired(t *testing.T) {
+	runFollower(t, nil, func(check *is.I, s *fakeStore, f *Follower) {
+		old := s.copyRecords()
+		s.put(Operators, "out/z1", "1")
+		time.Sleep(applyTime)
+		s.restore(old)
+		time.Sleep(applyTime)
+		s.compact(Operators)
+		time.Sleep(applyTime)
+		check.True(f.View().Evacuated["z1"])
+		// Written again and removed while the instance reads nothing.
+		time.Sleep(lostRecordTime)
+		s.setDown(true)
+		s.put(Operators, "out/z1", "1")
+		s.put(Operators, "out/z1", "")
+		s.compact(Operators)
+		s.setDown(false)
+		time.Sleep(5 * time.Second)
+		check.True(!f.View().Evacuated["z1"])
+	})
+}
--- a/internal/topicwatch/state.go
+++ b/internal/topicwatch/state.go
@@ -18,6 +18,8 @@
 	// certainFrom is the offset from which on records of this era are known to have been
 	// written in it; those before may be from the copy.
 	certainFrom int64
+	// restoredAt is when the store was last seen to have come back from a copy.
+	restoredAt time.Time
 	// removed has when keys were removed, so that a copy of the store does not bring them
 	// back.
 	removed map[string]time.Time
@@ -88,9 +90,11 @@
 			changed = true
 		}
 	}
+	// A record of an earlier era is missing because the copy lacked it, unless its writer has
+	// had the time to write it again.
+	rewritten := now.Sub(s.restoredAt) >= lostRecordTime
 	for key, it := range s.items {
-		// Records that the list cannot contain are not missing from it.
-		if !seen[key] && it.Era == p.Era && s.remove(key, now) {
+		if !seen[key] && (it.Era == p.Era || rewritten) && s.remove(key, now) {
 			changed = true
 		}
 	}
@@ -106,6 +110,10 @@
 	// rewriteTime is how long a record of a topic whose keys expire is kept that the copy does
 	// not have. Its writer writes it again within about 2 s, if it lives.
 	rewriteTime = 2200 * time.Millisecond
+	// lostRecordTime is after how long a list of the topic is taken to have all records that
+	// the copy lacked. Processes write theirs again once they notice the restore, which a long
+	// poll delays by up to 20 s.
+	lostRecordTime = 30 * time.Second
 	// removedTTL is how long a removed key is remembered, longer than a copy is old.
 	removedTTL = 5 * time.Minute
 )
@@ -135,7 +143,7 @@
 			s.pendingRemovals[key] = now.Add(rewriteTime)
 		}
 	}
-	s.era, s.next, s.certainFrom = p.Era, p.Next, p.Next
+	s.era, s.next, s.certainFrom, s.restoredAt = p.Era, p.Next, p.Next, now
 	s.tombstones, s.tombstonesFrom = nil, s.next
 	return changed
 }
