Limit the time of each write to a caller or another process

A caller that stopped reading held its request, its upstream's slot and a goroutine until it closed the connection.

Now each write of a connection has its own limit, so that a long stream whose caller reads is not cut. TestReadIntoReleasedBuffer sets its limit by the server's options now, since the one on the connection is replaced.

--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -20,10 +20,12 @@
 	// idleTimeout bounds the time until the first byte of a connection, and readTimeout the
 	// time between two bytes of its first request. Hertz sets them only after that request.
 	idleTimeout, readTimeout time.Duration
+	// writeTimeout bounds each write. The standard transport has no such limit.
+	writeTimeout time.Duration
 }
 
 func newTransport(o *config.Options) network.Transporter {
-	return transport{standard.NewTransporter(o), o.IdleTimeout, o.ReadTimeout}
+	return transport{standard.NewTransporter(o), o.IdleTimeout, o.ReadTimeout, o.WriteTimeout}
 }
 
 // ListenAndServe implements network.Transporter.
@@ -31,7 +33,7 @@
 	return t.Transporter.ListenAndServe(func(ctx context.Context, c any) error {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
-		conn := &watchedConn{Conn: c.(network.Conn), disconnected: cancel}
+		conn := &watchedConn{Conn: c.(network.Conn), writeTimeout: t.writeTimeout, disconnected: cancel}
 		var err error
 		// The recovery of the server covers only its handlers.
 		panicked := background.Call(zap.L(), "connection", func() {
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -20,13 +20,17 @@
 func TestReadIntoReleasedBuffer(t *testing.T) {
 	check := is.New(t)
 	failed := make(chan struct{}, 1)
-	addr := startServer(t, func(_ context.Context, c *app.RequestContext) {
-		check.NoErr(c.GetConn().SetWriteTimeout(time.Nanosecond))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	check.NoErr(err)
+	h := peer.NewServer(ln, peer.ServerOptions{MaxBodyBytes: 1 << 20, WriteTimeout: time.Nanosecond})
+	t.Cleanup(func() { _ = h.Close() })
+	h.GET("/slow", func(_ context.Context, c *app.RequestContext) {
 		c.SetBodyStream(io.LimitReader(zeros{}, 64<<20), -1)
 		failed <- struct{}{}
 	})
+	go func() { _ = h.Run() }()
 	for range 20 {
-		c, err := net.Dial("tcp", addr)
+		c, err := net.Dial("tcp", ln.Addr().String())
 		check.NoErr(err)
 		_, err = io.WriteString(c, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
 		check.NoErr(err)
--- a/internal/peer/watched_conn.go
+++ b/internal/peer/watched_conn.go
@@ -11,11 +11,13 @@
 	"github.com/jacinthbend/jacinthbend/internal/background"
 )
 
-// watchedConn reads ahead while a request is handled, to notice that the other side has
+// watchedConn limits the time of each write, and reads ahead while a request is handled, to notice that the other side has
 // disconnected. Hertz's own connection does too, but goes on reading into a buffer that it has
 // released if a response fails, and the buffer may then hold another connection's bytes.
 type watchedConn struct {
 	network.Conn
+	// writeTimeout is the longest time of one write; 0 is no limit.
+	writeTimeout time.Duration
 	// disconnected is called when the read fails.
 	disconnected func()
 	// ended is closed when the read has ended; nil if there is none.
@@ -53,3 +55,15 @@
 	c.AbortBlockingRead()
 	return c.Conn.Release()
 }
+
+// Flush implements network.Writer.
+func (c *watchedConn) Flush() error {
+	_ = c.SetWriteTimeout(c.writeTimeout)
+	return c.Conn.Flush()
+}
+
+// Write implements net.Conn.
+func (c *watchedConn) Write(p []byte) (int, error) {
+	_ = c.SetWriteTimeout(c.writeTimeout)
+	return c.Conn.Write(p)
+}
