Take the addresses of the soak's links below the range of outgoing connections

A link that refuses connections closes its listener; an outgoing connection of any process could take its port before it listens again. The links now use standin.FreeAddr, like the processes of the soak.

--- a/bench/soak/proxy.go
+++ b/bench/soak/proxy.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/jacinthbend/jacinthbend/internal/standin"
 )
 
 // LinkFault is a fault that a proxy injects into its connections.
@@ -48,11 +50,16 @@
 }
 
 func newProxy(target string) (*proxy, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	// No outgoing connection takes the address while the proxy is closed.
+	address, err := standin.FreeAddr()
+	if err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for proxy")
 	}
-	p := &proxy{address: ln.Addr().String(), ln: ln, target: target, changed: make(chan struct{}), conns: make(map[*net.TCPConn]bool)}
+	p := &proxy{address: address, ln: ln, target: target, changed: make(chan struct{}), conns: make(map[*net.TCPConn]bool)}
 	go p.accept(ln)
 	return p, nil
 }
