Notice a lost answer of the operators' topic within the time of contact

An instance whose waiting read of the operators' topic lost its answer learned of a change up to 3.2 s later (2.5 s of waiting and 0.7 s for the call): a key or a route that had been confirmed was refused by an instance that had been in contact with the store for the platform's 3 s.

The read now waits for 2.1 s, so that a loss is noticed after 2.8 s, as for crash reports. TestChangeAfterLostAnswer fails before.

--- a/internal/topicwatch/follower_test.go
+++ b/internal/topicwatch/follower_test.go
@@ -431,3 +431,24 @@
 		<-done
 	})
 }
+
+// TestChangeAfterLostAnswer guards against a change of the operators that an instance learns
+// later than the platform's shortest time of contact after the connection of its waiting read
+// has gone silent.
+func TestChangeAfterLostAnswer(t *testing.T) {
+	runFollower(t, nil, func(check *is.I, s *fakeStore, f *Follower) {
+		const contactTime = 3 * time.Second
+		for i := range 12 {
+			time.Sleep(time.Duration(i) * 300 * time.Millisecond)
+			s.setHanging(true)
+			time.Sleep(20 * time.Millisecond)
+			s.setHanging(false)
+			s.put(Operators, "out/z1", "1")
+			time.Sleep(contactTime)
+			check.True(f.View().Evacuated["z1"])
+			s.put(Operators, "out/z1", "")
+			time.Sleep(contactTime)
+			check.True(!f.View().Evacuated["z1"])
+		}
+	})
+}
--- a/internal/topicwatch/poll_schedule.go
+++ b/internal/topicwatch/poll_schedule.go
@@ -14,14 +14,16 @@
 // call every few seconds and still delivers a change within milliseconds. Every
 // heartbeat of an upstream is a record, so a long poll on that topic would return
 // all the time; it is read at a fixed interval.
+//
+// A connection on which an answer is lost goes silent, which a read notices only after its
+// whole wait. For the topics on which every request depends, the wait and the timeout of a
+// call are together shorter than the platform's shortest time of contact, 3 s.
 var (
-	operatorSchedule = PollSchedule{MaxWait: 2500 * time.Millisecond}
+	operatorSchedule = PollSchedule{MaxWait: 2100 * time.Millisecond}
 	upstreamSchedule = PollSchedule{Interval: 600 * time.Millisecond}
 	// Processes start in groups, so an interval lets one read return many members.
 	memberSchedule = PollSchedule{MaxWait: 12 * time.Second, Interval: 1500 * time.Millisecond}
-	// Crashes are rare. A connection on which an answer is lost goes silent, which a read
-	// notices only after its whole wait: together with the timeout of a call it is shorter
-	// than the platform's shortest time of contact, 3 s. All instances may report one crash.
+	// All instances may report one crash, so an interval lets one read return many reports.
 	crashSchedule = PollSchedule{MaxWait: 1500 * time.Millisecond, Interval: 150 * time.Millisecond}
 	// Agents use only the model sizes of the configuration, not the API keys, so they
 	// can learn of a change later and their reads may wait longer.
