Ask other instances for what a restored store lacks before a start is ready

An entry instance that started after the store had come back from a copy served the copy's configuration until the operator had written again: a route or key that had been confirmed was refused, and a withdrawn key accepted, although all other instances knew better. The postmortem of the restored store listed this as open.

Cause: a starting instance trusts the store's list alone. It now asks up to four other entry instances for records of earlier eras, for at most 0.2 s. There are none in normal operation, so the answers are empty. A record replaces a listed one only if it was written later, and one whose key is not listed counts only from an instance that has noticed the restore.

TestChangeLostByStartAfterRestore fails before: 401 instead of 200 for the new key. TestRestoredStoreStartedInstance fails if a list takes back what was added.

--- a/internal/entryrpc/client.go
+++ b/internal/entryrpc/client.go
@@ -153,6 +153,41 @@
 	return topicwatch.Page{}, errors.New("no other entry instance could list the topic")
 }
 
+// Limits of LostRecords, which delays the start of an instance.
+const (
+	// lostTimeout is many round trips within a region.
+	lostTimeout = 200 * time.Millisecond
+	// maxLostCalls is how many instances are asked. Those that have started lately know
+	// nothing more than the caller.
+	maxLostCalls = 4
+)
+
+// LostRecords asks some of the other entry instances for their records of a topic from before
+// era. There are none unless the store has come back from a copy without them.
+func (c *Client) LostRecords(ctx context.Context, t topicwatch.Name, era int64) []topicwatch.Page {
+	ctx, cancel := context.WithTimeout(ctx, lostTimeout)
+	defer cancel()
+	others := c.otherEntries()
+	others = others[:min(len(others), maxLostCalls)]
+	pages := make(chan topicwatch.Page, len(others))
+	var calls sync.WaitGroup
+	for _, m := range others {
+		calls.Go(func() {
+			var resp topicResponse
+			if err := c.peers.Call(ctx, m.Addr, pathTopic, topicRequest{Topic: t, Before: era}, &resp); err == nil && resp.Known {
+				pages <- resp.Page
+			}
+		})
+	}
+	calls.Wait()
+	close(pages)
+	var out []topicwatch.Page
+	for p := range pages {
+		out = append(out, p)
+	}
+	return out
+}
+
 // relay returns the relay that this instance reads a topic from, or false if it reads
 // the store. A hash of its name assigns each instance to one of the relays.
 func (c *Client) relay(t topicwatch.Name) (fleet.Member, bool) {
--- a/internal/entryrpc/messages.go
+++ b/internal/entryrpc/messages.go
@@ -50,6 +50,8 @@
 	// Era is the era of From.
 	Era    int64 `json:"era,omitempty"`
 	WaitMS int64 `json:"wait_ms,omitempty"`
+	// Before asks only for the records from before this era; 0 for all.
+	Before int64 `json:"before,omitempty"`
 	// MaxAgeMS is how long ago the store may have confirmed the records, in ms; 0 stands
 	// for topicwatch.MaxStaleness.
 	MaxAgeMS int64 `json:"max_age_ms,omitempty"`
--- a/internal/entryrpc/server.go
+++ b/internal/entryrpc/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/route"
@@ -60,6 +61,9 @@
 			return topicResponse{Known: ok, Page: page}, nil
 		}
 		page, ok := cache.Snapshot(req.Topic)
+		if req.Before > 0 {
+			page.Items = slices.DeleteFunc(page.Items, func(it topicwatch.Item) bool { return it.Era >= req.Before })
+		}
 		return topicResponse{Known: ok, Page: page}, nil
 	})
 }
--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -194,6 +194,7 @@
 func (e *entry) waitReady(ctx context.Context) {
 	for ctx.Err() == nil {
 		if v := e.follower.View(); v != nil && len(v.Upstreams) > 0 {
+			e.addLostRecords(ctx)
 			e.crashReports.waitListed(ctx)
 			if err := e.lifecycle.Serve(); err != nil {
 				e.logger.Error("cannot start serving", zap.Error(err))
@@ -205,6 +206,14 @@
 	}
 }
 
+// addLostRecords asks other entry instances for records of the operators that the store has
+// lost. The copy may still have a withdrawn key, so the instance does that before it is ready.
+func (e *entry) addLostRecords(ctx context.Context) {
+	for _, p := range e.entryClient.LostRecords(ctx, topicwatch.Operators, e.follower.Era(topicwatch.Operators)) {
+		e.follower.AddLost(topicwatch.Operators, p)
+	}
+}
+
 // pruneInterval is how often unneeded idle connections to upstreams are closed.
 const pruneInterval = time.Second
 
--- a/internal/managed/restored_test.go
+++ b/internal/managed/restored_test.go
@@ -1,6 +1,9 @@
 package managed
 
 import (
+	"context"
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -33,6 +36,31 @@
 	})
 }
 
+// TestChangeLostByStartAfterRestore guards against an entry instance that starts after the store
+// has come back from a copy and serves the copy's configuration, in which a key that was
+// added is missing and a withdrawn one is back, although the other instances know better.
+func TestChangeLostByStartAfterRestore(t *testing.T) {
+	check := is.New(t)
+	c := newCrashCluster(t, 2, 1)
+	status := func(entry int, key string) int {
+		return platformtest.Send(context.Background(), &http.Transport{DisableKeepAlives: true}, c.entries[entry].CallerAddr, platformtest.Request{
+			ID: "r-" + key, Method: http.MethodPost, Host: "h.example", Path: "/s/x", Key: key, Model: "m1", Body: key,
+			Prompt: "5a5a:10", TokensIn: 5, TokensOut: 5, Deadline: 2 * time.Second,
+		}).Status
+	}
+	c.store.Put(platformtest.OperatorTopic, platformtest.ConfigKey, fmt.Sprintf(testConfig, 2, "key2"))
+	c.eventually("the new key accepted", func() bool { return status(1, "key2") == http.StatusOK })
+	c.store.RestoreWithoutLast(platformtest.OperatorTopic, 1)
+	<-time.After(2 * time.Second)
+	c.stops[0]()
+	c.entries[0].FirstStart = false
+	c.startEntry(0)
+	check.Equal(status(0, "key2"), http.StatusOK)
+	check.Equal(status(0, "key"), http.StatusUnauthorized)
+	c.store.Put(platformtest.OperatorTopic, platformtest.ConfigKey, fmt.Sprintf(testConfig, 3, "key3"))
+	c.eventually("the next change in force", func() bool { return status(0, "key3") == http.StatusOK })
+}
+
 // TestFenceAfterRestore guards against an agent whose orders have a lower fencing token than
 // those of its earlier start, because the store has come back from a copy between.
 func TestFenceAfterRestore(t *testing.T) {
--- a/internal/topicwatch/restored_test.go
+++ b/internal/topicwatch/restored_test.go
@@ -1,11 +1,14 @@
 package topicwatch
 
 import (
+	"context"
 	"maps"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 )
 
 // copyRecords returns a copy of the store's records.
@@ -208,3 +211,70 @@
 		check.True(!f.View().Evacuated["z1"])
 	})
 }
+
+// TestRestoredStoreStartedInstance guards against an instance that starts after the restore and
+// uses what the copy has instead of what was confirmed later, and against records of another
+// instance that bring back what has been removed since.
+func TestRestoredStoreStartedInstance(t *testing.T) {
+	lostOf := func(f *Follower) Page {
+		p, _ := f.Snapshot(Operators)
+		return p
+	}
+	runFollower(t, nil, func(check *is.I, s *fakeStore, old *Follower) {
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		defer running.Wait()
+		defer cancel()
+		// start returns an instance that starts now.
+		start := func() *Follower {
+			f := NewFollower(Options{Source: s, Decoder: textDecoder{}, Logger: zap.NewNop()})
+			running.Go(func() { f.Run(ctx, Operators, Upstreams, Members) })
+			time.Sleep(50 * time.Millisecond)
+			return f
+		}
+		before := s.copyRecords()
+		s.put(Operators, "config", "4")
+		s.put(Operators, "out/z1", "1")
+		s.put(Operators, "out/z2", "1")
+		time.Sleep(applyTime)
+		notNoticed := lostOf(old)
+		s.restore(before)
+		time.Sleep(applyTime)
+		// Written again and removed before the next instance starts.
+		s.put(Operators, "out/z2", "1")
+		s.put(Operators, "out/z2", "")
+		time.Sleep(applyTime)
+		for _, noticed := range []bool{false, true} {
+			t.Log("the other instance has noticed the restore:", noticed)
+			f, lost := start(), notNoticed
+			if noticed {
+				lost = lostOf(old)
+			}
+			check.Equal(f.View().Config.Version, int64(1))
+			f.AddLost(Operators, lost)
+			check.Equal(f.View().Config.Version, int64(4))
+			check.Equal(f.View().Evacuated["z1"], noticed)
+			check.True(!f.View().Evacuated["z2"])
+			// A list shortly after does not take them back.
+			s.setDown(true)
+			s.put(Operators, "out/z3", "1")
+			s.put(Operators, "out/z3", "")
+			s.compact(Operators)
+			s.setDown(false)
+			time.Sleep(applyTime)
+			check.Equal(f.View().Evacuated["z1"], noticed)
+			page, _ := f.Snapshot(Operators)
+			check.Equal(page.Era, int64(2))
+		}
+		last := start()
+		last.AddLost(Operators, lostOf(old))
+		s.put(Operators, "out/z1", "")
+		s.put(Operators, "config", "5")
+		time.Sleep(applyTime)
+		check.True(!last.View().Evacuated["z1"])
+		check.Equal(last.View().Config.Version, int64(5))
+		last.AddLost(Operators, notNoticed)
+		check.True(!last.View().Evacuated["z1"])
+		check.Equal(last.View().Config.Version, int64(5))
+	})
+}
