List topics again when what a restored store lacked must have been written again

An evacuation that had begun after the copy was taken and was ended right after the restore stayed in force for good at each instance that listed the topic after that: the list shows neither the record nor its removal, so the record counted as one still to be written again, and no later answer mentioned it. The data centre got no requests until a restart.

TestRestoredStoreRemovedAtOnce fails before: z1 is still evacuated.

--- a/internal/topicwatch/follower.go
+++ b/internal/topicwatch/follower.go
@@ -145,7 +145,7 @@
 // poll lists a topic that is not known yet, and otherwise reads its new records.
 func (f *Follower) poll(ctx context.Context, t Name, wait time.Duration) error {
 	from, _ := f.position(t)
-	if from.Offset < 0 {
+	if from.Offset < 0 || f.relistDue(t) {
 		return f.list(ctx, t)
 	}
 	page, err := f.source.Read(ctx, t, from, wait)
@@ -192,6 +192,13 @@
 	return s.position(), true
 }
 
+// relistDue reports whether a topic has to be listed again some time after a restore.
+func (f *Follower) relistDue(t Name) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.states[t].relistDue(time.Now())
+}
+
 // readFallback applies the records of another instance if they are newer than the
 // follower's own.
 func (f *Follower) readFallback(ctx context.Context, t Name) {
--- a/internal/topicwatch/lost_records.go
+++ b/internal/topicwatch/lost_records.go
@@ -50,9 +50,7 @@
 		added++
 	}
 	if added > 0 {
-		// From here on as if this instance had seen the store come back.
-		s.certainFrom, s.restoredAt = s.next, now
-		s.tombstones, s.tombstonesFrom = nil, s.next
+		s.noteRestore(now)
 	}
 	return added
 }
--- a/internal/topicwatch/restored_test.go
+++ b/internal/topicwatch/restored_test.go
@@ -212,6 +212,28 @@
 	})
 }
 
+// TestRestoredStoreRemovedAtOnce guards against a record that the copy lacks and that stays in
+// force for good, since its removal was written before the first list after the restore.
+func TestRestoredStoreRemovedAtOnce(t *testing.T) {
+	runFollower(t, nil, func(check *is.I, s *fakeStore, f *Follower) {
+		old := s.copyRecords()
+		s.put(Operators, "out/z1", "1")
+		s.put(Operators, "config", "4")
+		time.Sleep(applyTime)
+		s.restore(old)
+		s.put(Operators, "out/z1", "")
+		time.Sleep(applyTime)
+		check.True(f.View().Evacuated["z1"]) // cannot be told apart from what is still to be written again
+		time.Sleep(lostRecordTime)
+		check.True(!f.View().Evacuated["z1"])
+		check.Equal(f.View().Config.Version, int64(4))
+		// The older record of a key that the copy has too does not make it list again.
+		before := s.readCount(Operators)
+		time.Sleep(lostRecordTime)
+		check.True(s.readCount(Operators)-before >= int(lostRecordTime/operatorSchedule.MaxWait)-1)
+	})
+}
+
 // TestRestoredStoreStartedInstance guards against an instance that starts after the restore and
 // uses what the copy has instead of what was confirmed later, and against records of another
 // instance that bring back what has been removed since.
--- a/internal/topicwatch/state.go
+++ b/internal/topicwatch/state.go
@@ -20,6 +20,9 @@
 	certainFrom int64
 	// restoredAt is when the store was last seen to have come back from a copy.
 	restoredAt time.Time
+	// relistAt is when to list the topic again, for the removals that were written between
+	// the restore and the first list after it; zero if not needed.
+	relistAt time.Time
 	// removed has when keys were removed, so that a copy of the store does not bring them
 	// back.
 	removed map[string]time.Time
@@ -98,6 +101,9 @@
 			changed = true
 		}
 	}
+	if rewritten {
+		s.relistAt = time.Time{}
+	}
 	s.era, s.next = p.Era, max(s.next, p.Next)
 	// A key that is missing from the list was removed at an unknown offset, so there
 	// is no tombstone for it.
@@ -143,11 +149,22 @@
 			s.pendingRemovals[key] = now.Add(rewriteTime)
 		}
 	}
-	s.era, s.next, s.certainFrom, s.restoredAt = p.Era, p.Next, p.Next, now
-	s.tombstones, s.tombstonesFrom = nil, s.next
+	s.era, s.next = p.Era, p.Next
+	s.noteRestore(now)
 	return changed
 }
 
+// noteRestore records that the known records may be a mix of those of the copy and those that it
+// lacks.
+func (s *state) noteRestore(now time.Time) {
+	s.certainFrom, s.restoredAt, s.relistAt = s.next, now, now.Add(lostRecordTime)
+	s.tombstones, s.tombstonesFrom = nil, s.next
+}
+
+func (s *state) relistDue(now time.Time) bool {
+	return !s.relistAt.IsZero() && !now.Before(s.relistAt)
+}
+
 // mayTake reports whether a listed record that may be from the copy replaces what is known of
 // its key.
 func (s *state) mayTake(it Item, supersedes order) bool {
