Bound the waits for changes by the time within which they must be in force

Cause: a read that arrives at the store while a record is being written is not woken by it and gets the record at the end of its wait. Changes must be in force after 2 s.

A read of the operators' topic now waits for at most 0.8 of the time within which the platform requires a change to be in force (bounds.config_apply_ms, a new setting; 2 s if it is missing). TestWaitingReadGetsChangeLate fails with a longer wait.

--- a/internal/settings/managed.go
+++ b/internal/settings/managed.go
@@ -70,6 +70,9 @@
 			c.add(field, fmt.Sprint(v), "must be above 0")
 		}
 	}
+	if s.Bounds.ConfigApplyMS < 0 {
+		c.add("bounds.config_apply_ms", fmt.Sprint(s.Bounds.ConfigApplyMS), "must not be negative")
+	}
 	c.logLevel(s.LogLevel)
 	if s.CPUShare < 0 {
 		c.add("cpu_share", fmt.Sprint(s.CPUShare), "must not be negative")
@@ -108,6 +111,11 @@
 // GracePeriod is the time between SIGTERM and SIGKILL.
 func (s *Managed) GracePeriod() time.Duration { return seconds(s.Bounds.GraceS) }
 
+// ConfigApplyTime is the time within which a confirmed change must be in force, 0 if unknown.
+func (s *Managed) ConfigApplyTime() time.Duration {
+	return time.Duration(s.Bounds.ConfigApplyMS * float64(time.Millisecond))
+}
+
 // maxBufferShare is the share of the memory limit that buffered responses may take.
 const maxBufferShare = 4
 
--- a/internal/settings/managed_bounds.go
+++ b/internal/settings/managed_bounds.go
@@ -5,6 +5,9 @@
 type ManagedBounds struct {
 	// GraceS is the time between SIGTERM and SIGKILL, in seconds.
 	GraceS float64 `json:"grace_s"`
+	// ConfigApplyMS is the time within which a confirmed change of the configuration must be in
+	// force, in milliseconds; 0 if the platform does not say.
+	ConfigApplyMS float64 `json:"config_apply_ms,omitempty"`
 	// RetryRatio is the number of retries allowed per request to a service, within
 	// RetryWindowS (in seconds). RetrySlack is the number of retries allowed per
 	// window in addition.
--- a/internal/settings/managed_test.go
+++ b/internal/settings/managed_test.go
@@ -22,12 +22,13 @@
 // effect as something else: each is reported with its field.
 func TestManagedSettings(t *testing.T) {
 	for field, set := range map[string]func(*Managed){
-		"":                      func(*Managed) {},
-		"instance":              func(s *Managed) { s.Instance = "" },
-		"store_addr":            func(s *Managed) { s.StoreAddr = "store" },
-		"log_level":             func(s *Managed) { s.LogLevel = "loud" },
-		"cpu_share":             func(s *Managed) { s.CPUShare = -1 },
-		"bounds.quota_window_s": func(s *Managed) { s.Bounds.QuotaWindowS = 0 },
+		"":                       func(*Managed) {},
+		"instance":               func(s *Managed) { s.Instance = "" },
+		"store_addr":             func(s *Managed) { s.StoreAddr = "store" },
+		"log_level":              func(s *Managed) { s.LogLevel = "loud" },
+		"cpu_share":              func(s *Managed) { s.CPUShare = -1 },
+		"bounds.quota_window_s":  func(s *Managed) { s.Bounds.QuotaWindowS = 0 },
+		"bounds.config_apply_ms": func(s *Managed) { s.Bounds.ConfigApplyMS = -1 },
 	} {
 		t.Run(field, func(t *testing.T) {
 			check := is.New(t)
--- a/internal/topicwatch/follower.go
+++ b/internal/topicwatch/follower.go
@@ -23,7 +23,7 @@
 	onChange         func(*fleet.View)
 	onRecords        func(t Name, items []Item, isNew bool)
 	onEra            func(era int64)
-	longOperatorWait bool
+	operatorSchedule PollSchedule
 
 	view atomic.Pointer[fleet.View]
 
@@ -51,8 +51,10 @@
 	Fallback Source
 	Decoder  Decoder
 	Logger   *zap.Logger
-	// LongOperatorWait makes long polls of the operators topic wait longer, to
-	// save calls.
+	// ApplyTime is within which time of its confirmation a change of the operators must be in
+	// force; 0 stands for defaultApplyTime. With LongOperatorWait, long polls of the operators
+	// topic wait longer than that, to save calls.
+	ApplyTime        time.Duration
 	LongOperatorWait bool
 	// OnChange is called with each new view, one call at a time.
 	OnChange func(*fleet.View)
@@ -68,7 +70,7 @@
 // NewFollower returns a follower without records; Run reads them.
 func NewFollower(o Options) *Follower {
 	f := &Follower{
-		source: o.Source, fallback: o.Fallback, decoder: o.Decoder, logger: o.Logger, onChange: o.OnChange, onRecords: o.OnRecords, onEra: o.OnEra, longOperatorWait: o.LongOperatorWait,
+		source: o.Source, fallback: o.Fallback, decoder: o.Decoder, logger: o.Logger, onChange: o.OnChange, onRecords: o.OnRecords, onEra: o.OnEra, operatorSchedule: operatorSchedule(o.ApplyTime, o.LongOperatorWait),
 		era: -1, states: make(map[Name]*state), decoded: make(map[Name]map[string]decodedItem),
 	}
 	for _, t := range []Name{Operators, Upstreams, Members, Crashes} {
@@ -98,10 +100,7 @@
 func (f *Follower) scheduleOf(t Name) PollSchedule {
 	switch t {
 	case Operators:
-		if f.longOperatorWait {
-			return agentOperatorSchedule
-		}
-		return operatorSchedule
+		return f.operatorSchedule
 	case Upstreams:
 		return upstreamSchedule
 	case Crashes:
--- a/internal/topicwatch/follower_test.go
+++ b/internal/topicwatch/follower_test.go
@@ -28,6 +28,8 @@
 	reads   map[Name]int
 	// era counts the restores from a copy, starting at 1.
 	era int64
+	// notWaking makes reads that wait get new records only at the end of their wait.
+	notWaking bool
 }
 
 func newFakeStore() *fakeStore {
@@ -65,6 +67,12 @@
 	return hanging
 }
 
+func (s *fakeStore) setNotWaking(notWaking bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notWaking = notWaking
+}
+
 func (s *fakeStore) readCount(t Name) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -119,7 +127,7 @@
 			return Page{}, errors.New("no answer")
 		}
 		s.mu.Lock()
-		down, expired, era := s.down, from < s.first[t] || from > int64(len(s.topics[t])), s.era
+		down, expired, era, notWaking := s.down, from < s.first[t] || from > int64(len(s.topics[t])), s.era, s.notWaking
 		items := append([]Item(nil), s.topics[t][min(from, int64(len(s.topics[t]))):]...)
 		s.mu.Unlock()
 		switch {
@@ -128,7 +136,7 @@
 		case expired:
 			sleep(ctx, time.Millisecond) // the round trip
 			return Page{}, ErrExpired
-		case len(items) > 0 || !time.Now().Before(end):
+		case len(items) > 0 && !notWaking || !time.Now().Before(end):
 			return Page{Items: items, Next: from + int64(len(items)), Era: era}, nil
 		}
 		sleep(ctx, 5*time.Millisecond)
@@ -337,7 +345,7 @@
 		store.put(Operators, "config", "1")
 		f := NewFollower(Options{Source: store, Decoder: textDecoder{}, Logger: zap.NewNop()})
 		f.topics = []Name{Operators, Members}
-		check.NoErr(f.poll(t.Context(), Operators, operatorSchedule.MaxWait))
+		check.NoErr(f.poll(t.Context(), Operators, f.operatorSchedule.MaxWait))
 		check.True(f.View() == nil)
 		check.NoErr(f.poll(t.Context(), Members, memberSchedule.MaxWait))
 		check.True(f.View() != nil)
@@ -350,7 +358,7 @@
 func TestLongPollIsNoOutage(t *testing.T) {
 	runFollower(t, nil, func(check *is.I, s *fakeStore, f *Follower) {
 		s.put(Operators, "out/z0", "out")
-		time.Sleep(10 * operatorSchedule.MaxWait)
+		time.Sleep(10 * f.operatorSchedule.MaxWait)
 		check.Equal(len(f.View().Evacuated), 1)
 		s.put(Operators, "out/z0", "")
 		time.Sleep(50 * time.Millisecond)
@@ -452,3 +460,31 @@
 		}
 	})
 }
+
+// TestWaitingReadGetsChangeLate guards against a change that is not in force in time, since the
+// store does not answer a waiting read before the end of its wait if the read has arrived while
+// the record was being written.
+func TestWaitingReadGetsChangeLate(t *testing.T) {
+	runFollower(t, nil, func(check *is.I, s *fakeStore, f *Follower) {
+		s.setNotWaking(true)
+		for version := 2; version < 9; version++ {
+			time.Sleep(time.Duration(version) * 310 * time.Millisecond)
+			s.put(Operators, "config", strconv.Itoa(version))
+			time.Sleep(defaultApplyTime - 100*time.Millisecond)
+			check.Equal(f.View().Config.Version, int64(version))
+		}
+	})
+}
+
+// TestOperatorWait guards against waits that are longer than a change may take, also with
+// settings that do not say how long that is.
+func TestOperatorWait(t *testing.T) {
+	check := is.New(t)
+	for apply, wait := range map[time.Duration]time.Duration{
+		0: 1600 * time.Millisecond, time.Second: 800 * time.Millisecond, 2 * time.Second: 1600 * time.Millisecond,
+		3 * time.Second: 2400 * time.Millisecond, 8 * time.Second: maxOperatorWait,
+	} {
+		check.Equal(operatorSchedule(apply, false).MaxWait, wait)
+	}
+	check.Equal(operatorSchedule(time.Second, true).MaxWait, longOperatorWait)
+}
--- a/internal/topicwatch/poll_schedule.go
+++ b/internal/topicwatch/poll_schedule.go
@@ -19,17 +19,37 @@
 // whole wait. For the topics on which every request depends, the wait and the timeout of a
 // call are together shorter than the platform's shortest time of contact, 3 s.
 var (
-	operatorSchedule = PollSchedule{MaxWait: 2100 * time.Millisecond}
 	upstreamSchedule = PollSchedule{Interval: 600 * time.Millisecond}
 	// Processes start in groups, so an interval lets one read return many members.
 	memberSchedule = PollSchedule{MaxWait: 12 * time.Second, Interval: 1500 * time.Millisecond}
 	// All instances may report one crash, so an interval lets one read return many reports.
 	crashSchedule = PollSchedule{MaxWait: 1500 * time.Millisecond, Interval: 150 * time.Millisecond}
-	// Agents use only the model sizes of the configuration, not the API keys, so they
-	// can learn of a change later and their reads may wait longer.
-	agentOperatorSchedule = PollSchedule{MaxWait: 20 * time.Second}
 )
 
+// Waits for records of the operators.
+const (
+	// defaultApplyTime is the platform's shortest time within which a change is in force.
+	defaultApplyTime = 2 * time.Second
+	// operatorWaitShare is which share of that time a read waits at most. A read that arrives
+	// while a record is being written gets it only at the end of its wait, and the rest is
+	// for the way of the answer.
+	operatorWaitShare = 0.8
+	maxOperatorWait   = 2500 * time.Millisecond
+	// longOperatorWait is that of agents. They use only the model sizes of the configuration,
+	// not the API keys, so they can learn of a change later.
+	longOperatorWait = 20 * time.Second
+)
+
+func operatorSchedule(applyTime time.Duration, long bool) PollSchedule {
+	if long {
+		return PollSchedule{MaxWait: longOperatorWait}
+	}
+	if applyTime <= 0 {
+		applyTime = defaultApplyTime
+	}
+	return PollSchedule{MaxWait: min(maxOperatorWait, time.Duration(operatorWaitShare*float64(applyTime)))}
+}
+
 // The time between the starts of two reads while the source fails begins at
 // minRetryInterval and doubles up to maxRetryInterval. A store that turns many processes
 // away for seconds would otherwise get more calls than it serves in good times.
--- a/internal/topicwatch/restored_test.go
+++ b/internal/topicwatch/restored_test.go
@@ -230,7 +230,7 @@
 		// The older record of a key that the copy has too does not make it list again.
 		before := s.readCount(Operators)
 		time.Sleep(lostRecordTime)
-		check.True(s.readCount(Operators)-before >= int(lostRecordTime/operatorSchedule.MaxWait)-1)
+		check.True(s.readCount(Operators)-before >= int(lostRecordTime/f.operatorSchedule.MaxWait)-1)
 	})
 }
 
