--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,10 +39,11 @@
 	check := is.New(t)
 	const interval = 20 * time.Millisecond
 	core, logs := observer.New(zapcore.WarnLevel)
-	requests := 0
+	var requests atomic.Int64
 	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		check.True(!strings.Contains(r.Header.Get("Authorization"), demoKey))
-		if requests++; logs.Len() < 3 {
+		requests.Add(1)
+		if logs.Len() < 3 {
 			w.WriteHeader(http.StatusTooManyRequests)
 			return
 		}
@@ -52,6 +54,6 @@
 	defer entry.Close()
 	f := &Fleet{CallerAddr: entry.Listener.Addr().String(), Key: demoKey, Model: demoModel}
 	check.NoErr(f.waitUntilServing(context.Background(), interval, zap.New(core)))
-	check.True(requests > 3)
+	check.True(requests.Load() > 3)
 	check.Equal(logs.Len(), 3)
 }
