--- a/internal/peer/bounded_conn.go
+++ b/internal/peer/bounded_conn.go
@@ -11,6 +11,7 @@
 
 var (
 	errResponseTooLong = errors.Errorf("the response exceeds %d bytes", maxResponseBytes)
+	errTooManyChunks   = errors.Errorf("the sizes of the response's chunks exceed %d bytes", maxChunkSizeBytes)
 	errHeadTooLong     = errors.Errorf("the response header or trailer exceeds %d bytes or arrives in more than %d parts", maxHeaderBytes, maxPeeks)
 )
 
@@ -40,8 +41,8 @@
 }
 
 // boundedConn fails reads once the response to the last request is longer than
-// maxResponseBytes, or its header longer than maxHeaderBytes. Hertz limits only the
-// body of a response.
+// maxResponseBytes, its header longer than maxHeaderBytes, or in too many chunks. Hertz limits
+// only the body of a response.
 type boundedConn struct {
 	network.Conn
 	// consumed is how many bytes of the response were read.
@@ -49,6 +50,9 @@
 	// peeks is how often hertz has waited for more bytes since it last read any. For a
 	// body it waits once at most, for a header or trailer after each part that arrives.
 	peeks int
+	// chunkSizes is how many bytes of the response were read one by one. Hertz does so only for
+	// the sizes of chunks.
+	chunkSizes int
 	// strict makes Flush fail if bytes have arrived that belong to no response. used tells
 	// that there was a request before.
 	strict, used bool
@@ -58,6 +62,10 @@
 // it from the beginning after each part.
 const maxPeeks = 64
 
+// maxChunkSizeBytes limits the time that a response of many tiny chunks takes. One of
+// maxResponseBytes in chunks of 1 KiB has less.
+const maxChunkSizeBytes = 64 << 10
+
 func (c *boundedConn) consume(n int) {
 	c.consumed += n
 	c.peeks = 0
@@ -68,7 +76,7 @@
 	if c.strict && c.used && c.hasSurplus() {
 		return ErrConnUnusable
 	}
-	c.consumed, c.peeks, c.used = 0, 0, true
+	c.consumed, c.peeks, c.chunkSizes, c.used = 0, 0, 0, true
 	return c.Conn.Flush()
 }
 
@@ -125,6 +133,9 @@
 	if err := c.check(); err != nil {
 		return 0, err
 	}
+	if c.chunkSizes++; c.chunkSizes > maxChunkSizeBytes {
+		return 0, errTooManyChunks
+	}
 	c.consume(1)
 	return c.Conn.ReadByte()
 }
