Keep reports of crashes within the record size of the store

After many crashes under load the store would refuse an instance's report for its length, and the other instances would learn of its crashes only directly, again and again every 0.4 s. A request under which upstreams crash could then go on at instances that are not reached.

Cause: a report had up to 64 crashes of up to 512 suspects: 724 KB in a test with 64 requests for each crash, where a record may have 256 KiB. It now has 2,300 suspects, those with the most evidence and of the newest crashes first (147 KB in the test). Half of a crash's room is left to whole requests, since their parts could take all of it.

TestReportTooLongForStore and TestDigestCrowdedOutByParts fail before.

--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -69,10 +69,15 @@
 	maps.Copy(c.NotBegun, o.NotBegun)
 }
 
-// addSuspect adds a suspect unless the crash has maxSuspects. The lowest position counts.
+// addSuspect adds a suspect unless the crash has maxSuspects, of which half are left to whole
+// requests. The lowest position counts.
 func (c *Crash) addSuspect(s Suspect, position int) {
 	old, ok := c.Suspects[s]
-	if !ok && len(c.Suspects) >= maxSuspects {
+	limit := maxSuspects
+	if s.isPart() {
+		limit /= 2
+	}
+	if !ok && len(c.Suspects) >= limit {
 		return
 	}
 	if !ok || position < old {
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -59,9 +59,43 @@
 		}
 	}
 	slices.SortFunc(r.Crashes, func(a, b Crash) int { return cmp.Or(cmp.Compare(a.AtMS, b.AtMS), cmp.Compare(a.ID, b.ID)) })
+	t.limitSuspects(r.Crashes)
 	return r
 }
 
+// maxReportedSuspects bounds the suspects of all crashes of a report, so that the store takes it:
+// one takes up to 100 bytes of a record of 256 KiB, and a crash up to 400.
+const maxReportedSuspects = 2300
+
+// limitSuspects keeps those suspects of a report with the most evidence against them, of the
+// newest crashes first.
+func (t *Table) limitSuspects(crashes []Crash) {
+	type entry struct {
+		crash  int
+		weight int
+		s      Suspect
+	}
+	weights := weigh(slices.Collect(maps.Values(t.crashes)), nil, func(Suspect, int) bool { return true })
+	var all []entry
+	room := maxReportedSuspects
+	for i, c := range crashes {
+		room -= len(c.Cleared)
+		for s := range c.Suspects {
+			all = append(all, entry{i, weights[s], s})
+		}
+	}
+	if room = max(0, room); len(all) <= room {
+		return
+	}
+	slices.SortFunc(all, func(a, b entry) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(b.crash, a.crash), cmp.Compare(a.s, b.s))
+	})
+	for _, e := range all[room:] {
+		delete(crashes[e.crash].Suspects, e.s)
+		delete(crashes[e.crash].NotBegun, e.s)
+	}
+}
+
 func (t *Table) reportedByOthers(crashID string, s Suspect) bool {
 	for _, r := range t.reports {
 		for i := range r.Crashes {
