--- a/internal/peer/disconnect_test.go
+++ b/internal/peer/disconnect_test.go
@@ -67,6 +67,26 @@
 	exchange(t, c, r, "/quick")
 }
 
+// TestHalfClosedCaller guards against a handler that goes on for a caller that has closed only its
+// direction of the connection: it cannot be told apart from one that has left.
+func TestHalfClosedCaller(t *testing.T) {
+	check := is.New(t)
+	ended := make(chan struct{})
+	addr := startServer(t, func(ctx context.Context, _ *app.RequestContext) {
+		<-ctx.Done()
+		close(ended)
+	})
+	c, err := net.Dial("tcp", addr)
+	check.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	check.NoErr(err)
+	left := time.Now()
+	check.NoErr(c.(*net.TCPConn).CloseWrite())
+	<-ended
+	check.True(time.Since(left) < 500*time.Millisecond)
+}
+
 // startServer starts a server that answers /quick at once and /slow with slow.
 func startServer(t *testing.T, slow app.HandlerFunc) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
