Learn of a new member within the quota window

A read of the members that is not woken, or whose answer is lost, delayed what an instance knew of a new one by 12 to 12.7 s. A new holder of a team's quota counts its part as spent for one window, 8 s, and then spends it, while an instance that does not know of it still uses the larger share: together they exceed the team's quota.

A read of the members waits for at most 0.9 of the quota window. TestMemberLearnedLate fails with a longer wait, for a lost answer and for a read that is not woken.

--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -110,7 +110,7 @@
 	})
 	e.follower = topicwatch.NewFollower(topicwatch.Options{
 		Source:   topicwatch.NewRelayedSource(e.store, e.entryClient, func(t topicwatch.Name, at time.Time) { e.follower.MarkStoreRead(t, at) }),
-		Fallback: e.entryClient, Decoder: platform.Decoder{}, Logger: e.logger, ApplyTime: s.ConfigApplyTime(), OnRecords: e.crashReports.apply,
+		Fallback: e.entryClient, Decoder: platform.Decoder{}, Logger: e.logger, ApplyTime: s.ConfigApplyTime(), QuotaWindow: s.QuotaWindow(), OnRecords: e.crashReports.apply,
 		OnEra: func(era int64) {
 			e.era.set(era)
 			crashes.Republish()
--- a/internal/topicwatch/follower.go
+++ b/internal/topicwatch/follower.go
@@ -24,6 +24,7 @@
 	onRecords        func(t Name, items []Item, isNew bool)
 	onEra            func(era int64)
 	operatorSchedule PollSchedule
+	memberSchedule   PollSchedule
 
 	view atomic.Pointer[fleet.View]
 
@@ -51,6 +52,8 @@
 	// topic wait longer than that, to save calls.
 	ApplyTime        time.Duration
 	LongOperatorWait bool
+	// QuotaWindow is within which time all instances must learn of a new one; 0 for no limit.
+	QuotaWindow time.Duration
 	// OnChange is called with each new view, one call at a time.
 	OnChange func(*fleet.View)
 	// OnEra is called when the store's era is first known and each time it has risen; it may
@@ -65,7 +68,7 @@
 // NewFollower returns a follower without records; Run reads them.
 func NewFollower(o Options) *Follower {
 	f := &Follower{
-		source: o.Source, fallback: o.Fallback, decoder: o.Decoder, logger: o.Logger, onChange: o.OnChange, onRecords: o.OnRecords, onEra: o.OnEra, operatorSchedule: operatorSchedule(o.ApplyTime, o.LongOperatorWait),
+		source: o.Source, fallback: o.Fallback, decoder: o.Decoder, logger: o.Logger, onChange: o.OnChange, onRecords: o.OnRecords, onEra: o.OnEra, operatorSchedule: operatorSchedule(o.ApplyTime, o.LongOperatorWait), memberSchedule: memberSchedule(o.QuotaWindow),
 		era: -1, states: make(map[Name]*state), decoded: make(map[Name]map[string]decodedItem),
 	}
 	for _, t := range []Name{Operators, Upstreams, Members, Crashes} {
@@ -101,7 +104,7 @@
 	case Crashes:
 		return crashSchedule
 	default:
-		return memberSchedule
+		return f.memberSchedule
 	}
 }
 
--- a/internal/topicwatch/follower_test.go
+++ b/internal/topicwatch/follower_test.go
@@ -188,7 +188,7 @@
 		f.topics = []Name{Operators, Members}
 		check.NoErr(f.poll(t.Context(), Operators, f.operatorSchedule.MaxWait))
 		check.True(f.View() == nil)
-		check.NoErr(f.poll(t.Context(), Members, memberSchedule.MaxWait))
+		check.NoErr(f.poll(t.Context(), Members, f.memberSchedule.MaxWait))
 		check.True(f.View() != nil)
 	})
 }
@@ -329,3 +329,35 @@
 	}
 	check.Equal(operatorSchedule(time.Second, true).MaxWait, longOperatorWait)
 }
+
+// TestMemberLearnedLate guards against two instances that use the same share of a team's quota:
+// a new holder begins to spend after a window, while another one has not learned of it, because
+// its read was not woken or its answer was lost.
+func TestMemberLearnedLate(t *testing.T) {
+	const window = 8 * time.Second
+	for name, fault := range map[string]func(*fakeStore){
+		"not woken":   func(s *fakeStore) { s.setNotWaking(true) },
+		"answer lost": func(s *fakeStore) { s.setHanging(true); time.Sleep(20 * time.Millisecond); s.setHanging(false) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				check := is.New(t)
+				s := newFakeStore()
+				s.put(Operators, "config", "1")
+				f := NewFollower(Options{Source: s, Decoder: textDecoder{}, Logger: zap.NewNop(), QuotaWindow: window})
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() { f.Run(ctx, Operators, Members); close(done) }()
+				for i := range 9 {
+					time.Sleep(time.Duration(i) * 1700 * time.Millisecond)
+					fault(s)
+					s.put(Members, strconv.Itoa(i), "1")
+					time.Sleep(window)
+					check.Equal(len(f.View().Members), i+1)
+				}
+				cancel()
+				<-done
+			})
+		})
+	}
+}
--- a/internal/topicwatch/poll_schedule.go
+++ b/internal/topicwatch/poll_schedule.go
@@ -20,8 +20,6 @@
 // call are together shorter than the platform's shortest time of contact, 3 s.
 var (
 	upstreamSchedule = PollSchedule{Interval: 600 * time.Millisecond}
-	// Processes start in groups, so an interval lets one read return many members.
-	memberSchedule = PollSchedule{MaxWait: 12 * time.Second, Interval: 1500 * time.Millisecond}
 	// All instances may report one crash, so an interval lets one read return many reports.
 	crashSchedule = PollSchedule{MaxWait: 1500 * time.Millisecond, Interval: 150 * time.Millisecond}
 )
@@ -40,6 +38,25 @@
 	longOperatorWait = 20 * time.Second
 )
 
+// Waits for records of members.
+const (
+	// memberWaitShare is which share of the quota window a read waits at most: an instance that
+	// becomes a holder of a team's quota counts its part as spent for a window, in which all
+	// others have to learn of it. The rest is for the timeout of a call.
+	memberWaitShare = 0.9
+	maxMemberWait   = 12 * time.Second
+	// memberInterval lets one read return many members, since processes start in groups.
+	memberInterval = 1500 * time.Millisecond
+)
+
+func memberSchedule(quotaWindow time.Duration) PollSchedule {
+	wait := maxMemberWait
+	if quotaWindow > 0 {
+		wait = min(wait, time.Duration(memberWaitShare*float64(quotaWindow)))
+	}
+	return PollSchedule{MaxWait: wait, Interval: memberInterval}
+}
+
 func operatorSchedule(applyTime time.Duration, long bool) PollSchedule {
 	if long {
 		return PollSchedule{MaxWait: longOperatorWait}
