Count a share as spent after a start with a checkpoint from before a restore

Cause: an instance that starts again reads what it has spent from its checkpoint in the store. If the store has come back from a copy between, the checkpoint is older than the last one, up to a whole window, and what was spent since could be spent again. A checkpoint now carries the store's era; one of an earlier era counts as lost, and the whole share as spent for one window instead of 0.6 of it.

TestQuotaSpentTwiceAfterRestore fails before: 200 instead of 429.

--- a/internal/managed/era.go
+++ b/internal/managed/era.go
@@ -27,6 +27,13 @@
 	}
 }
 
+// known returns the newest era in which the store has been seen; 0 if there is none.
+func (e *storeEra) known() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.newest
+}
+
 // waitAfter waits until the store is in a later era than era, or ctx ends.
 func (e *storeEra) waitAfter(ctx context.Context, era int64) {
 	for {
--- a/internal/managed/quota_checkpoints.go
+++ b/internal/managed/quota_checkpoints.go
@@ -38,7 +38,7 @@
 		cancel()
 		if err == nil {
 			e.quota.Resume(start, checkpoint)
-			e.logger.Info("restored quota usage of earlier starts", zap.Bool("joined", start == tokenquota.Joined), zap.Int("busy_teams", len(checkpoint.Spent)))
+			e.logger.Info("restored quota usage of earlier starts", zap.Bool("joined", start == tokenquota.Joined), zap.Bool("checkpoint_lost", start == tokenquota.CheckpointLost), zap.Int("busy_teams", len(checkpoint.Spent)))
 			return
 		}
 		e.logger.Warn("cannot read quota usage of earlier starts, retrying", telemetry.Err(err))
@@ -70,6 +70,9 @@
 			e.logger.Warn("ignoring quota checkpoint that cannot be decoded", zap.Int64("offset", item.Offset), telemetry.Err(err))
 			return tokenquota.Joined, tokenquota.Checkpoint{}, nil
 		}
+		if checkpoint.Era > 0 && checkpoint.Era < checkpoints.Era {
+			return tokenquota.CheckpointLost, checkpoint, nil
+		}
 	}
 	return start, checkpoint, nil
 }
@@ -84,7 +87,9 @@
 			return
 		case <-e.quota.CheckpointDue():
 		}
-		value, err := json.Marshal(e.quota.Checkpoint())
+		checkpoint := e.quota.Checkpoint()
+		checkpoint.Era = e.era.known()
+		value, err := json.Marshal(checkpoint)
 		if err == nil {
 			_, err = e.store.Put(ctx, topicwatch.Spending, e.settings.Instance, value)
 		}
--- a/internal/managed/restored_test.go
+++ b/internal/managed/restored_test.go
@@ -50,7 +50,7 @@
 	}
 	c.store.Put(platformtest.OperatorTopic, platformtest.ConfigKey, fmt.Sprintf(testConfig, 2, "key2"))
 	c.eventually("the new key accepted", func() bool { return status(1, "key2") == http.StatusOK })
-	c.store.RestoreWithoutLast(platformtest.OperatorTopic, 1)
+	c.store.RestoreFirst(platformtest.OperatorTopic, 1)
 	<-time.After(2 * time.Second)
 	c.stops[0]()
 	c.entries[0].FirstStart = false
@@ -61,6 +61,30 @@
 	c.eventually("the next change in force", func() bool { return status(0, "key3") == http.StatusOK })
 }
 
+// TestQuotaSpentTwiceAfterRestore guards against a team that spends its quota twice, because an
+// instance starts again with a checkpoint that is older than its last one: the store has come back
+// from a copy meanwhile.
+func TestQuotaSpentTwiceAfterRestore(t *testing.T) {
+	check := is.New(t)
+	c := newCrashCluster(t, 1, 1)
+	// The allowance is 199,000 tokens; what a restart assumes without a checkpoint is 0.6 of it.
+	send := func(tokens int) int {
+		return platformtest.Send(context.Background(), &http.Transport{DisableKeepAlives: true}, c.entries[0].CallerAddr, platformtest.Request{
+			ID: "r", Method: http.MethodPost, Host: "h.example", Path: "/s/x", Key: "key", Model: "m1", Body: "x",
+			Prompt: "5a5a:10", TokensIn: 10, TokensOut: tokens, Deadline: 2 * time.Second,
+		}).Status
+	}
+	c.eventually("the first checkpoint", func() bool { return c.store.Keys(platformtest.SpendingTopic) == 1 })
+	check.Equal(send(150_000), http.StatusOK)
+	check.Equal(send(60_000), http.StatusTooManyRequests)
+	c.stops[0]()
+	c.wg.Wait()
+	c.store.RestoreFirst(platformtest.SpendingTopic, 1)
+	c.entries[0].FirstStart = false
+	c.startEntry(0)
+	check.Equal(send(60_000), http.StatusTooManyRequests) // within the window of 8 s
+}
+
 // TestFenceAfterRestore guards against an agent whose orders have a lower fencing token than
 // those of its earlier start, because the store has come back from a copy between.
 func TestFenceAfterRestore(t *testing.T) {
--- a/internal/tokenquota/checkpoint.go
+++ b/internal/tokenquota/checkpoint.go
@@ -22,6 +22,9 @@
 type Checkpoint struct {
 	// At is when the checkpoint was written, in Unix milliseconds.
 	At int64 `json:"at"`
+	// Era is the store's era as known when the checkpoint was written, 0 if unknown. One of an
+	// earlier era than the store's may not be the last that the instance has written.
+	Era int64 `json:"era,omitempty"`
 	// Spent has, by team, the tokens spent in each second before At, latest
 	// second first.
 	Spent map[string][]float64 `json:"spent"`
@@ -41,6 +44,9 @@
 	// Joined means that the other instances did not know of this one, so that they
 	// may have spent its share.
 	Joined
+	// CheckpointLost means that the store has come back from a copy since the checkpoint of an
+	// earlier start, which may have spent the whole share since.
+	CheckpointLost
 )
 
 // newTeamQuota returns a team's quota at this instance, in which the tokens that
@@ -48,7 +54,7 @@
 func (l *Limiter) newTeamQuota(team string, share float64, now time.Time) *teamQuota {
 	q := &teamQuota{share: share}
 	switch l.startKind {
-	case Joined:
+	case Joined, CheckpointLost:
 		q.assumeSpent(1, now)
 	case Restart:
 		age := max(0, time.Since(time.UnixMilli(l.lastCheckpoint.At))-clockMargin)
