--- a/internal/tokenquota/checkpoint.go
+++ b/internal/tokenquota/checkpoint.go
@@ -44,8 +44,10 @@
 	// Joined means that the other instances did not know of this one, so that they
 	// may have spent its share.
 	Joined
-	// CheckpointLost means that the store has come back from a copy since the checkpoint of an
-	// earlier start, which may have spent the whole share since.
+	// CheckpointLost is a Restart whose checkpoint is older than the last that was written, since
+	// the store has come back from a copy. Teams that it lists were busy, and may have spent the
+	// whole share since. For the others, what a Restart assumes has to do: to refuse all teams
+	// for a window costs them more than one of them may spend twice.
 	CheckpointLost
 )
 
@@ -53,10 +55,12 @@
 // earlier starts may have spent count as spent.
 func (l *Limiter) newTeamQuota(team string, share float64, now time.Time) *teamQuota {
 	q := &teamQuota{share: share}
-	switch l.startKind {
-	case Joined, CheckpointLost:
+	_, wasBusy := l.lastCheckpoint.Spent[team]
+	switch {
+	case l.startKind == FirstStart:
+	case l.startKind == Joined || l.startKind == CheckpointLost && wasBusy:
 		q.assumeSpent(1, now)
-	case Restart:
+	default:
 		age := max(0, time.Since(time.UnixMilli(l.lastCheckpoint.At))-clockMargin)
 		recorded := 0.0
 		spent := l.lastCheckpoint.Spent[team]
@@ -76,7 +80,6 @@
 		if share > 0 {
 			l.signalCheckpoint()
 		}
-	case FirstStart:
 	}
 	return q
 }
