--- a/internal/tokenquota/checkpoint.go
+++ b/internal/tokenquota/checkpoint.go
@@ -12,6 +12,9 @@
 	// checkpointStep is the fraction of a share that may be spent between two
 	// checkpoints.
 	checkpointStep = 0.15
+	// busyFraction is the fraction of a share from which on a team counts as busy if its last
+	// checkpoint is lost. It is above what a Restart assumes, which checkpoints contain.
+	busyFraction = 0.75
 	// clockMargin covers wall clocks that differ or jump between the writing
 	// and the reading of a checkpoint.
 	clockMargin = 3 * time.Second
@@ -30,6 +33,15 @@
 	Spent map[string][]float64 `json:"spent"`
 }
 
+// sum returns the tokens that a team spent.
+func (c Checkpoint) sum(team string) float64 {
+	out := 0.0
+	for _, tokens := range c.Spent[team] {
+		out += tokens
+	}
+	return out
+}
+
 // StartKind tells what an instance knows of its earlier starts.
 type StartKind int
 
@@ -45,9 +57,9 @@
 	// may have spent its share.
 	Joined
 	// CheckpointLost is a Restart whose checkpoint is older than the last that was written, since
-	// the store has come back from a copy. Teams that it lists were busy, and may have spent the
-	// whole share since. For the others, what a Restart assumes has to do: to refuse all teams
-	// for a window costs them more than one of them may spend twice.
+	// the store has come back from a copy. Teams that were busy then may have spent the whole
+	// share since. For the others, what a Restart assumes has to do: to refuse all teams for a
+	// window costs them more than one of them may spend twice.
 	CheckpointLost
 )
 
@@ -55,10 +67,9 @@
 // earlier starts may have spent count as spent.
 func (l *Limiter) newTeamQuota(team string, share float64, now time.Time) *teamQuota {
 	q := &teamQuota{share: share}
-	_, wasBusy := l.lastCheckpoint.Spent[team]
 	switch {
 	case l.startKind == FirstStart:
-	case l.startKind == Joined || l.startKind == CheckpointLost && wasBusy:
+	case l.startKind == Joined || l.startKind == CheckpointLost && l.lastCheckpoint.sum(team) >= busyFraction*share:
 		q.assumeSpent(1, now)
 	default:
 		age := max(0, time.Since(time.UnixMilli(l.lastCheckpoint.At))-clockMargin)
