--- a/internal/topicwatch/restored_test.go
+++ b/internal/topicwatch/restored_test.go
@@ -298,5 +298,9 @@
 		last.AddLost(Operators, notNoticed)
 		check.True(!last.View().Evacuated["z1"])
 		check.Equal(last.View().Config.Version, int64(5))
+		// What it tells others is not older either.
+		page, _ := last.Snapshot(Operators)
+		check.Equal(len(page.Items), 1)
+		check.Equal(string(page.Items[0].Value), "5")
 	})
 }
