Count four fifths of each share as spent after a lost checkpoint

A team that became busy after the copy was taken is not in the older checkpoint, and 0.6 of a share counted as spent.

It is 0.8 now if the last checkpoint is lost, and a team counts as busy from 0.9 of a share on.

--- a/internal/tokenquota/checkpoint.go
+++ b/internal/tokenquota/checkpoint.go
@@ -12,9 +12,12 @@
 	// checkpointStep is the fraction of a share that may be spent between two
 	// checkpoints.
 	checkpointStep = 0.15
-	// busyFraction is the fraction of a share from which on a team counts as busy if its last
-	// checkpoint is lost. It is above what a Restart assumes, which checkpoints contain.
-	busyFraction = 0.75
+	// lostFraction is the fraction of a share that counts as spent if the last checkpoint is lost.
+	// To refuse all teams for a window would cost them more than one of them may spend twice.
+	lostFraction = 0.8
+	// busyFraction is the fraction from which on a team in an older checkpoint counts as busy,
+	// and all of its share as spent. It is above lostFraction, which checkpoints may contain.
+	busyFraction = 0.9
 	// clockMargin covers wall clocks that differ or jump between the writing
 	// and the reading of a checkpoint.
 	clockMargin = 3 * time.Second
@@ -57,9 +60,7 @@
 	// may have spent its share.
 	Joined
 	// CheckpointLost is a Restart whose checkpoint is older than the last that was written, since
-	// the store has come back from a copy. Teams that were busy then may have spent the whole
-	// share since. For the others, what a Restart assumes has to do: to refuse all teams for a
-	// window costs them more than one of them may spend twice.
+	// the store has come back from a copy. Any team may have spent its share since.
 	CheckpointLost
 )
 
@@ -84,7 +85,11 @@
 		}
 		// Either the last checkpoint lists all spending except for at most one step,
 		// or less than checkpointThreshold was spent.
-		q.assumeSpent(max(checkpointStep, checkpointThreshold+checkpointStep-recorded/max(1, share)), now)
+		assumed := checkpointThreshold + checkpointStep
+		if l.startKind == CheckpointLost {
+			assumed = lostFraction
+		}
+		q.assumeSpent(max(checkpointStep, assumed-recorded/max(1, share)), now)
 		// If this start wrote no checkpoint, the next start would not know of the
 		// spending assumed here, and several starts in a row could each spend a
 		// step.
--- a/internal/tokenquota/limiter_test.go
+++ b/internal/tokenquota/limiter_test.go
@@ -315,3 +315,39 @@
 }
 
 var testBounds = Bounds{Window: 8 * time.Second, Over: 0.1, Slack: 110000}
+
+// TestLostCheckpoint guards against a busy team that spends its quota twice after a start whose
+// last checkpoint is lost, and against refusing the others altogether.
+func TestLostCheckpoint(t *testing.T) {
+	for name, row := range map[string]struct {
+		kind StartKind
+		// recorded is the part of the share in the older checkpoint, and free what may be
+		// spent after the start.
+		recorded, free float64
+	}{
+		"busy":                 {CheckpointLost, 0.95, 0},
+		"not busy":             {CheckpointLost, 0.5, 1 - lostFraction},
+		"not listed":           {CheckpointLost, 0, 1 - lostFraction},
+		"restart, not listed":  {Restart, 0, 1 - checkpointThreshold - checkpointStep},
+		"restart, long before": {Restart, 0.95, 1 - checkpointThreshold - checkpointStep},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				check := is.New(t)
+				b := Bounds{Window: 8 * time.Second}
+				share := b.allowance(1000, 1000)
+				l := NewLimiter("entry-0", b, nil)
+				spent := map[string][]float64{}
+				if row.recorded > 0 {
+					spent["t"] = []float64{row.recorded * share}
+				}
+				l.Resume(row.kind, Checkpoint{At: time.Now().Add(-2 * b.Window).UnixMilli(), Spent: spent})
+				l.Configure(&fleet.Config{Version: 1, Teams: []fleet.Team{{Name: "t", Rate: 1000, Burst: 1000}}}, []string{"entry-0"})
+				check.True(!l.Take(t.Context(), "t", row.free*share+1).Allowed)
+				check.True(row.free == 0 || l.Take(t.Context(), "t", row.free*share-1).Allowed)
+				time.Sleep(b.Window + windowMargin + time.Millisecond)
+				check.True(l.Take(t.Context(), "t", row.free*share+1).Allowed)
+			})
+		})
+	}
+}
