--- a/internal/entryrpc/client.go
+++ b/internal/entryrpc/client.go
@@ -163,8 +163,11 @@
 )
 
 // LostRecords asks some of the other entry instances for their records of a topic from before
-// era. There are none unless the store has come back from a copy without them.
+// era. There are none unless the store has come back from a copy without them, or names no era.
 func (c *Client) LostRecords(ctx context.Context, t topicwatch.Name, era int64) []topicwatch.Page {
+	if era <= 0 {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, lostTimeout)
 	defer cancel()
 	others := c.otherEntries()
--- a/internal/peer/watched_conn.go
+++ b/internal/peer/watched_conn.go
@@ -11,9 +11,10 @@
 	"github.com/jacinthbend/jacinthbend/internal/background"
 )
 
-// watchedConn limits the time of each write, and reads ahead while a request is handled, to notice that the other side has
-// disconnected. Hertz's own connection does too, but goes on reading into a buffer that it has
-// released if a response fails, and the buffer may then hold another connection's bytes.
+// watchedConn limits the time of each write. While a request is handled it reads ahead, to notice
+// that the other side has disconnected. Hertz's own connection does too, but goes on reading into
+// a buffer that it has released if a response fails, and the buffer may then hold another
+// connection's bytes.
 type watchedConn struct {
 	network.Conn
 	// writeTimeout is the longest time of one write; 0 is no limit.
