Log software versions of upstreams and streams that callers take up

The last line of a request has the versions of its upstreams, and resumes and resume_after if it takes up a stream. Routing does not use the version yet.

--- a/internal/fleet/request_attributes.go
+++ b/internal/fleet/request_attributes.go
@@ -22,6 +22,9 @@
 	// ResumeAfter is the id of the last event of the stream that the caller has, or
 	// empty.
 	ResumeAfter string
+	// Resumes is the RequestID of the attempt that brought the first event of the stream that
+	// the caller takes up, or empty if the caller names none or several.
+	Resumes string
 }
 
 // PromptPart is a part of a prompt that several requests may share.
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -9,10 +9,13 @@
 	// It distinguishes restarts that keep the ID.
 	StartedAtMS int64
 	Service     string
-	Addr        string
-	DataCentre  string
-	Capacity    int
-	Draining    bool
+	// Version is the version of the upstream's software, or empty if it names none. Versions
+	// have no order. What two versions write does not fit together.
+	Version    string
+	Addr       string
+	DataCentre string
+	Capacity   int
+	Draining   bool
 	// ColdLeftMS is how much longer the upstream stays cold, in ms, as of its last
 	// heartbeat.
 	ColdLeftMS int64
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -33,7 +33,7 @@
 	r.eventsBefore = r.events.Events
 	r.crashFinding = "not checked"
 	again := slices.Contains(r.upstreams, id)
-	r.upstreams = append(r.upstreams, id)
+	r.upstreams, r.versions = append(r.upstreams, id), append(r.versions, choice.Upstream.Version)
 	r.estimatedTTFT = choice.Delay
 	if r.firstSentAt.IsZero() {
 		r.firstSentAt = time.Now()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -46,8 +46,9 @@
 	// deliveries counts the attempts in which an upstream may have received the
 	// request. possibleRuns counts those in which it may also have run it.
 	deliveries, possibleRuns int
-	// upstreams are the ids of the upstreams of all attempts, for the log.
-	upstreams []string
+	// upstreams are the ids of the upstreams of all attempts, and versions the versions of
+	// their software, for the log.
+	upstreams, versions []string
 	// fallback is the last error response (5xx) of an upstream. The caller gets it
 	// if no other upstream serves the request.
 	fallback *bufferedResponse
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -274,7 +274,10 @@
 		fields = append(fields, zap.String("model", r.query.Name()))
 	}
 	if len(r.upstreams) > 0 {
-		fields = append(fields, zap.Strings("upstreams", r.upstreams), zap.Int("ran", r.possibleRuns), zap.Int("events", r.events.Events))
+		fields = append(fields, zap.Strings("upstreams", r.upstreams), zap.Strings("versions", r.versions), zap.Int("ran", r.possibleRuns), zap.Int("events", r.events.Events))
+	}
+	if r.attrs.ResumeAfter != "" {
+		fields = append(fields, zap.String("resumes", r.attrs.Resumes), zap.String("resume_after", r.attrs.ResumeAfter))
 	}
 	if !r.firstSentAt.IsZero() {
 		fields = append(fields, zap.Duration("sent_after", r.firstSentAt.Sub(r.start)))
