Let a stream go on only at the software version that began it

Cause: the choice of an upstream did not know versions, neither when an instance resumes a stream within one answer nor when its caller takes it up at an instance that never saw it. The class is parts joined without a check that they fit together.

Change: a request whose first event has been sent is bound to that upstream's version. One that takes up a stream is bound to the version that internal/streamorigin finds by the request named in Resumes: from this instance, from records in the store, which all instances write while a service has several versions and for a while after, or from other instances. If the version is not known the request is refused at once with 503 stream_not_resumable and has not run.

--- a/internal/entryrpc/messages.go
+++ b/internal/entryrpc/messages.go
@@ -10,6 +10,7 @@
 	pathReturn = "/v1/entry/return"
 	pathTopic  = "/v1/entry/topic"
 	pathCrash  = "/v1/entry/crash-report"
+	pathOrigin = "/v1/entry/stream-origin"
 )
 
 // borrowRequest asks to borrow tokens of a team's quota.
@@ -64,6 +65,12 @@
 	Page  topicwatch.Page `json:"page"`
 }
 
+// originRequest asks for what began the stream of a request.
+type originRequest struct {
+	Service string `json:"service"`
+	Request string `json:"request"`
+}
+
 // crashReport carries what an instance knows of crashed upstreams.
 type crashReport struct {
 	From   string            `json:"from"`
--- a/internal/entryrpc/server.go
+++ b/internal/entryrpc/server.go
@@ -10,6 +10,7 @@
 	"github.com/jacinthbend/jacinthbend/internal/errkind"
 	"github.com/jacinthbend/jacinthbend/internal/peer"
 	"github.com/jacinthbend/jacinthbend/internal/quarantine"
+	"github.com/jacinthbend/jacinthbend/internal/streamorigin"
 	"github.com/jacinthbend/jacinthbend/internal/topicwatch"
 )
 
@@ -33,8 +34,16 @@
 	SetReport(instance string, r quarantine.Report)
 }
 
+// Origins knows which software versions began streams.
+type Origins interface {
+	Answer(service, id string) streamorigin.Answer
+}
+
 // Register adds handlers for the calls of other entry instances to r.
-func Register(r *route.Engine, lender Lender, cache TopicCache, crashes CrashTable) {
+func Register(r *route.Engine, lender Lender, cache TopicCache, crashes CrashTable, origins Origins) {
+	peer.Handle(r, pathOrigin, func(_ context.Context, req originRequest) (streamorigin.Answer, error) {
+		return origins.Answer(req.Service, req.Request), nil
+	})
 	peer.Handle(r, pathCrash, func(_ context.Context, req crashReport) (crashReportResponse, error) {
 		if req.From == "" {
 			return crashReportResponse{}, errkind.New(errkind.InvalidRequest, "the report names no instance")
--- a/internal/errkind/kind.go
+++ b/internal/errkind/kind.go
@@ -26,6 +26,7 @@
 	UpstreamFailed      Kind = "upstream_failed"
 	UpstreamCrashed     Kind = "upstream_crashed"
 	StreamCut           Kind = "stream_cut"
+	StreamNotResumable  Kind = "stream_not_resumable"
 	LoadFailed          Kind = "load_failed"
 	MemoryFull          Kind = "memory_full"
 	NotHome             Kind = "not_home"
--- a/internal/errkind/response.go
+++ b/internal/errkind/response.go
@@ -44,6 +44,7 @@
 	UpstreamFailed:      {http.StatusBadGateway, RanUnknown, false, "The upstream failed while it ran the request."},
 	UpstreamCrashed:     {http.StatusBadGateway, RanUnknown, false, "The upstream crashed while it ran the request."},
 	StreamCut:           {http.StatusBadGateway, RanUnknown, false, "The answer ended early; what was received is incomplete."},
+	StreamNotResumable:  {http.StatusServiceUnavailable, RanNo, true, "No upstream of the software version that began the stream can go on with it, or the version is not known; start the request anew, without the id of the last event."},
 	LoadFailed:          {http.StatusServiceUnavailable, RanNo, true, "The model could not be loaded; retry after the given time."},
 	MemoryFull:          {http.StatusServiceUnavailable, RanNo, true, "No upstream has memory for the model now; retry after the given time."},
 	NotHome:             {http.StatusMisdirectedRequest, RanNo, true, "The upstream is not decided to hold this model; the sender's view is behind."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -237,6 +237,7 @@
 		events, err := r.events.Add(buf[:n])
 		if len(events) > 0 {
 			detector.eventReceived()
+			r.recordOrigin(choice.Upstream)
 			r.startStream(resp.Status, header)
 			r.lastEventAt = time.Now()
 			if err := r.writer.write(events); err != nil {
@@ -307,7 +308,7 @@
 	if r.route.Resumable && r.events.Events > 0 {
 		r.resumeAfter = r.events.LastID
 	}
-	if r.writer.started && (!r.route.Resumable || r.resumeAfter == "") {
+	if r.writer.started && (!r.route.Resumable || r.resumeAfter == "" || r.g.Origins.Unclear(r.attrs.RequestID)) {
 		r.abortStream("the stream was interrupted and cannot be resumed")
 		r.recordCrash(crashed)
 		return finished
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -13,6 +13,7 @@
 	"github.com/jacinthbend/jacinthbend/internal/lifecycle"
 	"github.com/jacinthbend/jacinthbend/internal/quarantine"
 	"github.com/jacinthbend/jacinthbend/internal/retrybudget"
+	"github.com/jacinthbend/jacinthbend/internal/streamorigin"
 	"github.com/jacinthbend/jacinthbend/internal/tokenquota"
 	"github.com/jacinthbend/jacinthbend/internal/upstream"
 	"github.com/jacinthbend/jacinthbend/internal/upstreamclient"
@@ -36,6 +37,9 @@
 	// Quarantine has the content that crashes upstreams; nil stands for an empty table.
 	Quarantine *quarantine.Table
 	Loader     Loader
+	// Origins knows which software versions began streams; nil stands for a tracker of this
+	// instance alone.
+	Origins    *streamorigin.Tracker
 	Lifecycle  *lifecycle.Machine
 	DataCentre string
 	// MaxBufferedBytes limits the bytes of responses that all requests together
@@ -67,6 +71,9 @@
 	if g.Quarantine == nil {
 		g.Quarantine = quarantine.NewTable()
 	}
+	if g.Origins == nil {
+		g.Origins = streamorigin.New(streamorigin.Options{Logger: g.Logger})
+	}
 	g.exiting, g.cancelExiting = context.WithCancel(context.Background())
 	return g
 }
@@ -75,6 +82,7 @@
 func (g *Gateway) Update(v *fleet.View) {
 	entries := v.EntryNames()
 	g.table.update(v.Config)
+	g.Origins.Observe(v)
 	g.Pool.Update(v)
 	g.Quota.Configure(v.Config, entries)
 	g.RetryBudget.SetEntryCount(len(entries))
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -41,6 +41,10 @@
 		choice, unavailable := r.g.Pool.Pick(&r.query)
 		if choice == nil {
 			r.requestReplica(unavailable.Replica)
+			if unavailable.VersionGone && r.possibleRuns == 0 {
+				r.refuse(errkind.New(errkind.StreamNotResumable, unavailable.Reason).WithRetryAfter(r.retryAfter(defaultRetryAfter)))
+				return
+			}
 			if unavailable.Overloaded && r.possibleRuns == 0 && r.fallback == nil {
 				r.refuse(errkind.New(errkind.UpstreamBusy, unavailable.Reason).WithRetryAfter(r.retryAfter(unavailable.RetryAfter)))
 				return
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -116,6 +116,12 @@
 	}
 	ctx, cancel := context.WithDeadline(r.callerCtx, r.deadline)
 	defer cancel()
+	if r.takesUp() {
+		if err := r.bindToOrigin(ctx); err != nil {
+			r.refuse(err)
+			return
+		}
+	}
 	if err := r.chargeQuota(ctx); err != nil {
 		r.refuse(err)
 		return
@@ -192,13 +198,22 @@
 	}
 	r.events.LastID = r.attrs.ResumeAfter
 	r.query = upstream.Query{
-		Service: targetService(r.route, r.attrs.RequestID), Model: r.attrs.Model, Adapter: r.attrs.Adapter,
+		Service: targetService(r.route, r.firstRequestID()), Model: r.attrs.Model, Adapter: r.attrs.Adapter,
 		Prompt: r.attrs.Prompt, TokensIn: r.attrs.TokensIn, Objective: r.route.Objective,
 		Urgency: r.urgency(), DataCentre: r.g.DataCentre, Tried: make(map[string]bool),
 	}
 	return nil
 }
 
+// firstRequestID returns the id of the request that began the stream: a route that splits its
+// traffic sends what takes it up to the same service.
+func (r *request) firstRequestID() string {
+	if r.takesUp() && r.attrs.Resumes != "" {
+		return r.attrs.Resumes
+	}
+	return r.attrs.RequestID
+}
+
 // chargeQuota takes the request's tokens from the team's quota.
 func (r *request) chargeQuota(ctx context.Context) *errkind.Error {
 	if r.team == nil || r.team.Rate <= 0 {
--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -19,6 +19,7 @@
 	"github.com/jacinthbend/jacinthbend/internal/quarantine"
 	"github.com/jacinthbend/jacinthbend/internal/retrybudget"
 	"github.com/jacinthbend/jacinthbend/internal/settings"
+	"github.com/jacinthbend/jacinthbend/internal/streamorigin"
 	"github.com/jacinthbend/jacinthbend/internal/tokenquota"
 	"github.com/jacinthbend/jacinthbend/internal/topicwatch"
 	"github.com/jacinthbend/jacinthbend/internal/upstream"
@@ -44,6 +45,7 @@
 	agentRelay   *agentrelay.Relay
 	agentReader  *agentrelay.Reader
 	crashReports *crashReports
+	origins      *streamorigin.Tracker
 	metrics      *metrics.Set
 }
 
@@ -64,6 +66,7 @@
 	p.run(jobs, "follow topics", func(ctx context.Context) {
 		e.follower.Run(ctx, topicwatch.Operators, topicwatch.Upstreams, topicwatch.Members, topicwatch.Crashes)
 	})
+	p.run(jobs, "write records of streams", e.origins.Run)
 	p.run(jobs, "write crash reports", e.crashReports.publish)
 	p.run(jobs, "watch agents", e.agentWatcher.Run)
 	p.run(jobs, "read agent states", e.agentReader.Run)
@@ -98,18 +101,25 @@
 		a := dialect.Answer(h)
 		return a.RequestID, a.KeepAlive
 	})
-	e.pool = upstream.NewPool(s.Instance, s.DataCentre, upstream.Bounds{ColdOver: s.Bounds.ColdOver, ColdSlack: s.Bounds.ColdSlack})
+	e.pool = upstream.NewPool(s.Instance, s.DataCentre, upstream.Bounds{ColdOver: s.Bounds.ColdOver, ColdSlack: s.Bounds.ColdSlack, DrainTime: s.DrainTime()})
 	e.exchange.SetIdleLimit(e.pool.IdleLimit)
 	e.quota = tokenquota.NewLimiter(s.Instance, tokenquota.Bounds{Window: s.QuotaWindow(), Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack}, e.entryClient)
 	crashes := quarantine.NewTable()
 	e.crashReports = newCrashReports(s.Instance, crashes, e.store, entryrpc.NewCrashSender(e.entryClient), e.entryCount, e.logger)
+	e.origins = streamorigin.New(streamorigin.Options{Log: streamLog{instance: s.Instance, store: e.store}, Peers: e.entryClient, Entries: e.entryCount, Logger: e.logger})
 	e.gateway = gateway.New(gateway.Options{
+		Origins:    e.origins,
 		Quarantine: crashes, Dialect: dialect, Pool: e.pool, UpstreamClient: e.exchange, Quota: e.quota,
 		RetryBudget: retrybudget.New(retrybudget.Bounds{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.RetryWindow()}),
 		Loader:      e.agentClient, Lifecycle: e.lifecycle, DataCentre: s.DataCentre, MaxBufferedBytes: s.MaxBufferedBytes(), Logger: e.logger, Stats: gateway.NewStats(e.metrics),
 	})
 	e.follower = topicwatch.NewFollower(topicwatch.Options{
-		Source:   topicwatch.NewRelayedSource(e.store, e.entryClient, func(t topicwatch.Name, at time.Time) { e.follower.MarkStoreRead(t, at) }),
+		Source: topicwatch.NewRelayedSource(e.store, e.entryClient, func(t topicwatch.Name, at time.Time) {
+			e.follower.MarkStoreRead(t, at)
+			if t == topicwatch.Upstreams {
+				e.origins.ListConfirmed(at)
+			}
+		}),
 		Fallback: e.entryClient, Decoder: platform.Decoder{}, Logger: e.logger, ApplyTime: s.ConfigApplyTime(), QuotaWindow: s.QuotaWindow(), OnRecords: e.crashReports.apply,
 		OnEra: func(era int64) {
 			e.era.set(era)
@@ -168,7 +178,7 @@
 	if err != nil {
 		return err
 	}
-	entryrpc.Register(peers.Engine, e.quota, e.follower, e.gateway.Quarantine)
+	entryrpc.Register(peers.Engine, e.quota, e.follower, e.gateway.Quarantine, e.origins)
 	e.agentRelay.Register(peers.Engine)
 	operators, err := newOperatorServer(s.OperatorAddr(), e.metrics, e.ready)
 	if err != nil {
--- a/internal/settings/managed.go
+++ b/internal/settings/managed.go
@@ -70,8 +70,10 @@
 			c.add(field, fmt.Sprint(v), "must be above 0")
 		}
 	}
-	if s.Bounds.ConfigApplyMS < 0 {
-		c.add("bounds.config_apply_ms", fmt.Sprint(s.Bounds.ConfigApplyMS), "must not be negative")
+	for field, v := range map[string]float64{"bounds.config_apply_ms": s.Bounds.ConfigApplyMS, "bounds.drain_ms": s.Bounds.DrainMS} {
+		if v < 0 {
+			c.add(field, fmt.Sprint(v), "must not be negative")
+		}
 	}
 	c.logLevel(s.LogLevel)
 	if s.CPUShare < 0 {
@@ -116,6 +118,12 @@
 	return time.Duration(s.Bounds.ConfigApplyMS * float64(time.Millisecond))
 }
 
+// DrainTime is for how long after its announcement a leaving upstream still takes requests, 0 if
+// unknown.
+func (s *Managed) DrainTime() time.Duration {
+	return time.Duration(s.Bounds.DrainMS * float64(time.Millisecond))
+}
+
 // maxBufferShare is the share of the memory limit that buffered responses may take.
 const maxBufferShare = 4
 
--- a/internal/settings/managed_bounds.go
+++ b/internal/settings/managed_bounds.go
@@ -8,6 +8,9 @@
 	// ConfigApplyMS is the time within which a confirmed change of the configuration must be in
 	// force, in milliseconds; 0 if the platform does not say.
 	ConfigApplyMS float64 `json:"config_apply_ms,omitempty"`
+	// DrainMS is for how long after its announcement a leaving upstream still takes requests, in
+	// milliseconds; 0 if the platform does not say.
+	DrainMS float64 `json:"drain_ms,omitempty"`
 	// RetryRatio is the number of retries allowed per request to a service, within
 	// RetryWindowS (in seconds). RetrySlack is the number of retries allowed per
 	// window in addition.
--- /dev/null
+++ b/internal/streamorigin/options.go
@@ -0,0 +1,16 @@
+package streamorigin
+
+import "go.uber.org/zap"
+
+// Options are the dependencies of a Tracker.
+type Options struct {
+	// Log has what instances remember beyond their ends. Without it, the instance counts as
+	// the only one.
+	Log Log
+	// Peers are the other instances; may be nil.
+	Peers Peers
+	// Entries returns the number of entry instances; nil stands for one.
+	Entries func() int
+	// Logger may be nil.
+	Logger *zap.Logger
+}
--- a/internal/topicwatch/name.go
+++ b/internal/topicwatch/name.go
@@ -13,4 +13,7 @@
 	Spending Name = "spending"
 	// Crashes holds the reports of entry instances on upstreams that crashed.
 	Crashes Name = "crashes"
+	// Streams holds the records of entry instances on which software versions began streams.
+	// It is a log: its records expire and none replaces another.
+	Streams Name = "streams"
 )
--- a/internal/upstream/announcement.go
+++ b/internal/upstream/announcement.go
@@ -49,6 +49,7 @@
 	}
 	if a.Leaving && s.said.leavingSince.IsZero() {
 		s.said.leavingSince = now
+		s.noteLeaving(now)
 		return true, pause
 	}
 	return false, pause
--- a/internal/upstream/choice.go
+++ b/internal/upstream/choice.go
@@ -48,6 +48,8 @@
 	// PollAfter, if set, is when to call Pick again before RetryAfter has
 	// passed.
 	PollAfter time.Duration
+	// VersionGone means that no upstream with the required software version is listed.
+	VersionGone bool
 	// LoadPending means that the request waits for a model to be loaded.
 	LoadPending bool
 	// Queue is an engine with the model whose rate limit has room after RetryAfter, or nil.
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -35,6 +35,9 @@
 	if p.view == nil {
 		return nil, Unavailable{Reason: "no configuration received yet"}
 	}
+	if q.VersionBound && !p.versionListed(q.Service, q.Version) {
+		return nil, Unavailable{Reason: "no upstream of the software version that began the stream is left", VersionGone: true}
+	}
 	if q.Model != "" {
 		return p.pickEngine(q, now)
 	}
@@ -58,7 +61,7 @@
 // a cold one may, or 0.
 func (p *Pool) candidates(q *Query, states map[*state]struct{}, hashes []uint64, now time.Time) (out []candidate, wait time.Duration) {
 	for s := range states {
-		if q.Tried[s.upstream.ID] || !p.usable(s, now) {
+		if q.Tried[s.upstream.ID] || !p.usableFor(q, s, now) {
 			continue
 		}
 		w, needsPermit := p.sendWait(s, now)
@@ -165,17 +168,18 @@
 // with the fleet.
 func (p *Pool) pickEngine(q *Query, now time.Time) (*Choice, Unavailable) {
 	hashes := prefixHashes(q.Name(), q.Prompt)
-	withModel, coldWait := p.candidates(q, p.index.loaded[copyKey{q.Service, q.Model}], hashes, now)
+	loaded := ofVersion(q, p.index.loaded[copyKey{q.Service, q.Model}])
+	withModel, coldWait := p.candidates(q, loaded, hashes, now)
 	withModel = slices.DeleteFunc(withModel, func(c candidate) bool { return !c.hasModel })
 	if len(withModel) > 0 {
 		return p.pickLoaded(q, withModel, now)
 	}
 	choice, wait := p.pickLoad(q, now)
-	if coldWait > 0 && p.onlyRatesBind(p.index.loaded[copyKey{q.Service, q.Model}], now) && (choice == nil || choice.FromStore || coldWait <= choice.LoadTime) {
+	if coldWait > 0 && p.onlyRatesBind(loaded, now) && (choice == nil || choice.FromStore || coldWait <= choice.LoadTime) {
 		// The engines with the model have room sooner than another engine.
 		unavailable := noCandidate(coldWait)
 		unavailable.Queue = p.shortestQueue(q, hashes, now)
-		unavailable.Replica = p.replica(q, len(p.index.loaded[copyKey{q.Service, q.Model}]), now)
+		unavailable.Replica = p.replica(q, len(loaded), now)
 		return nil, unavailable
 	}
 	if choice == nil {
@@ -184,6 +188,10 @@
 		}
 		return nil, Unavailable{Reason: "no engine can load the model"}
 	}
+	if choice.FromStore && q.VersionBound {
+		// StoreLoads loads a model where it can be loaded soonest, which may be at another version.
+		return nil, Unavailable{Reason: "no engine of the software version that began the stream has the model"}
+	}
 	if choice.FromStore {
 		// StoreLoads decides on loads from the weight store, not single
 		// requests.
@@ -192,6 +200,20 @@
 	return choice, Unavailable{}
 }
 
+// ofVersion returns those of states that q may go to by their software version.
+func ofVersion(q *Query, states map[*state]struct{}) map[*state]struct{} {
+	if !q.VersionBound {
+		return states
+	}
+	out := make(map[*state]struct{}, len(states))
+	for s := range states {
+		if s.upstream.Version == q.Version {
+			out[s] = struct{}{}
+		}
+	}
+	return out
+}
+
 // onlyRatesBind reports whether all usable upstreams name rate limits, or all want a pause.
 func (p *Pool) onlyRatesBind(states map[*state]struct{}, now time.Time) bool {
 	if _, limited := p.limitSum(states, now); limited {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -15,6 +15,9 @@
 	// ColdOver times its Service.MaxColdRate, plus ColdSlack, requests.
 	ColdOver  float64
 	ColdSlack float64
+	// DrainTime is for how long after its announcement a leaving upstream still takes requests;
+	// 0 is unknown.
+	DrainTime time.Duration
 }
 
 // Pool tracks all upstreams known to an instance. It is safe for concurrent
@@ -90,6 +93,7 @@
 			s.upstream = u
 			p.index.update(s)
 		}
+		s.noteLeaving(now)
 	}
 	for id, s := range p.states {
 		if _, ok := v.Upstreams[id]; !ok && s.inFlight == 0 && !s.said.inForce(now) {
@@ -158,6 +162,7 @@
 		p.signalLoadProgress(s, st)
 		changed := s.agent == nil || s.agent.Holdings != st.Holdings || s.agent.Loading != st.Loading || !slices.Equal(s.agent.LoadQueue, st.LoadQueue)
 		s.agent, s.agentStateAt = st, at
+		s.noteLeaving(time.Now())
 		if changed {
 			p.index.update(s)
 		}
@@ -215,15 +220,41 @@
 }
 
 // usable reports whether new requests may go to the upstream.
-func (p *Pool) usable(s *state, now time.Time) bool {
+func (p *Pool) usable(s *state, now time.Time) bool { return p.responsive(s, now) && !s.leaves(now) }
+
+// usableFor reports whether q may go to the upstream. A stream that only upstreams of one version
+// can go on with may also go to one of them that has just announced that it leaves.
+func (p *Pool) usableFor(q *Query, s *state, now time.Time) bool {
+	switch {
+	case !q.VersionBound:
+		return p.usable(s, now)
+	case q.Version != s.upstream.Version || !p.responsive(s, now):
+		return false
+	default:
+		return !s.leaves(now) || s.leavingFor(now) < time.Duration(leavingShare*float64(p.bounds.DrainTime))
+	}
+}
+
+// responsive reports whether an upstream is listed, in a data centre in service, and not known to
+// be out.
+func (p *Pool) responsive(s *state, now time.Time) bool {
 	if _, listed := p.view.Upstreams[s.upstream.ID]; !listed {
 		return false
 	}
 	if s.machineUnresponsive() || s.engineUnresponsive(now) || s.replaced(now) || p.newestByAddr[s.upstream.Addr] != s.upstream.ID {
 		return false
 	}
-	return !s.upstream.Draining && s.said.leavingSince.IsZero() && !p.view.Evacuated[s.upstream.DataCentre] && !now.Before(s.health.ejectedUntil) &&
-		(s.agent == nil || !s.hasAgentState(now) || !s.agent.Draining)
+	return !p.view.Evacuated[s.upstream.DataCentre] && !now.Before(s.health.ejectedUntil)
+}
+
+// versionListed reports whether the list has an upstream of the service with the version.
+func (p *Pool) versionListed(service, version string) bool {
+	for s := range p.byService[service] {
+		if s.upstream.Version == version && p.view.Upstreams[s.upstream.ID] != nil {
+			return true
+		}
+	}
+	return false
 }
 
 // InFlight returns how many attempts of this instance run at an upstream.
--- a/internal/upstream/query.go
+++ b/internal/upstream/query.go
@@ -17,6 +17,10 @@
 	Objective time.Duration
 	// Urgency is the priority of the request; 0 is the most urgent.
 	Urgency int
+	// VersionBound tells that only upstreams with the software version Version may be chosen,
+	// since the request goes on with a stream that this version began.
+	VersionBound bool
+	Version      string
 	// ResponseStarted means that a part of the response was already sent to the
 	// caller.
 	ResponseStarted bool
--- a/internal/upstream/rate_limit.go
+++ b/internal/upstream/rate_limit.go
@@ -78,7 +78,7 @@
 func (p *Pool) shortestQueue(q *Query, hashes []uint64, now time.Time) *Choice {
 	var best *state
 	for s := range p.index.loaded[copyKey{q.Service, q.Model}] {
-		if q.Tried[s.upstream.ID] || !p.usable(s, now) || s.said.pause(now) > 0 || s.cold(now) || !p.reachesAgent(s, now) || !s.holdings(now).HasAdapter(q.Model, q.Adapter) {
+		if q.Tried[s.upstream.ID] || !p.usableFor(q, s, now) || s.said.pause(now) > 0 || s.cold(now) || !p.reachesAgent(s, now) || !s.holdings(now).HasAdapter(q.Model, q.Adapter) {
 			continue
 		}
 		if best == nil || s.noPermitUntil.Before(best.noPermitUntil) {
--- a/internal/upstream/state.go
+++ b/internal/upstream/state.go
@@ -56,6 +56,10 @@
 	headerLimit   float64
 	headerLimitAt time.Time
 	said          announcements
+	// servedSeen tells that this instance has known the upstream before it announced that it
+	// leaves; leavingAt is when it then learned that, zero before.
+	servedSeen bool
+	leavingAt  time.Time
 }
 
 // usage is this instance's use of one model or adapter of an upstream.
--- a/internal/upstream/ticket.go
+++ b/internal/upstream/ticket.go
@@ -25,7 +25,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, ok := p.states[c.Upstream.ID]
-	if !ok || !p.usable(s, now) {
+	if !ok || !p.usableFor(q, s, now) {
 		return nil, Unavailable{Reason: "the upstream is no longer usable"}
 	}
 	if s.said.pause(now) > 0 {
