--- a/internal/streamorigin/resolve.go
+++ b/internal/streamorigin/resolve.go
@@ -74,7 +74,8 @@
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	a := Answer{Covered: t.covered, Fresh: t.o.Log == nil || age(t.confirmedAt, now) <= maxListAge}
+	observed := !t.observedSince.IsZero() && now.Sub(t.observedSince) >= t.retention
+	a := Answer{Covered: t.covered || observed, Fresh: t.o.Log == nil || age(t.confirmedAt, now) <= maxListAge}
 	if id != "" {
 		if e := t.table.get(keyOf(id)); e != nil && !e.unclear {
 			a.Known, a.Service, a.Version = true, e.origin.Service, e.origin.Version
@@ -84,7 +85,7 @@
 	if h == nil {
 		return a
 	}
-	if _, several := h.several(now, t.retention); several || t.severalByLog(service, now) {
+	if _, several := h.several(now, t.retention); several || !observed && t.severalByLog(service, now) {
 		return a
 	}
 	a.Sole, a.HasSole = h.sole()
--- a/internal/streamorigin/tracker.go
+++ b/internal/streamorigin/tracker.go
@@ -39,8 +39,9 @@
 	// covered tells that versions before this instance's own list, and while it had none, are
 	// known from the log.
 	covered bool
-	// confirmedAt is when the list of upstreams was last known to be current.
-	confirmedAt time.Time
+	// confirmedAt is when the list of upstreams was last known to be current. It has been so
+	// without a gap since observedSince.
+	confirmedAt, observedSince time.Time
 	// severalAtMS is when a service last had several versions according to the log, in Unix
 	// milliseconds.
 	severalAtMS map[string]int64
@@ -174,7 +175,7 @@
 	defer t.mu.Unlock()
 	if t.confirmedAt.IsZero() || age(t.confirmedAt, at) > maxListAge {
 		// A version may have come and gone meanwhile.
-		t.covered = t.o.Log == nil
+		t.covered, t.observedSince = t.o.Log == nil, at
 	}
 	if at.After(t.confirmedAt) {
 		t.confirmedAt = at
