Use the upstream that answers at an address listed twice

Another writer's entry with the address of a sound upstream and a later start took the sound one out of use for good: of two entries with one address only the one that started last is used, and every answer of the other one, 421 with its own id, only paused the entry for 3 s.

An upstream that is listed at the address and has answered there in place of the newest entry is now used until the list has a later start. TestSoundUpstreamHiddenByOddEntry fails without the change: the sound upstream gets no request.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -122,6 +122,7 @@
 	}
 	outcome := upstream.Refused
 	if otherInstance {
+		ticket.AnsweredBy(a)
 		outcome = upstream.Replaced
 	}
 	ticket.End(outcome)
--- a/internal/upstream/idle_limit.go
+++ b/internal/upstream/idle_limit.go
@@ -15,7 +15,7 @@
 	if p.view == nil {
 		return math.MaxInt
 	}
-	u, ok := p.view.Upstreams[p.newestByAddr[addr]]
+	u, ok := p.view.Upstreams[p.currentAt(addr)]
 	if !ok {
 		return math.MaxInt
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -40,7 +40,9 @@
 	// newestByAddr is the ID of the most recently started upstream at each
 	// address.
 	newestByAddr map[string]string
-	demands      map[string]*modelDemand
+	// answers are by address which upstream has answered there instead of the newest one.
+	answers map[string]answer
+	demands map[string]*modelDemand
 	// storeLimits are by service.
 	storeLimits map[string]*storeLimit
 	// lastAvailable is when a model was last found outside the weight store, by
@@ -60,7 +62,7 @@
 // NewPool returns the pool of the entry instance called self, without
 // upstreams.
 func NewPool(self, dataCentre string, b Bounds) *Pool {
-	return &Pool{index: newModelIndex(), self: self, bounds: b, dataCentre: dataCentre, states: make(map[string]*state), demands: make(map[string]*modelDemand), storeLimits: make(map[string]*storeLimit), lastAvailable: make(map[string]time.Time), loadProgress: make(map[copyKey]chan struct{})}
+	return &Pool{index: newModelIndex(), self: self, bounds: b, dataCentre: dataCentre, states: make(map[string]*state), answers: make(map[string]answer), demands: make(map[string]*modelDemand), storeLimits: make(map[string]*storeLimit), lastAvailable: make(map[string]time.Time), loadProgress: make(map[copyKey]chan struct{})}
 }
 
 // Update applies a new view.
@@ -114,6 +116,7 @@
 			p.newestByAddr[u.Addr] = id
 		}
 	}
+	p.dropOldAnswers()
 	p.matchAgents(v)
 }
 
@@ -241,7 +244,7 @@
 	if _, listed := p.view.Upstreams[s.upstream.ID]; !listed {
 		return false
 	}
-	if s.machineUnresponsive() || s.engineUnresponsive(now) || s.replaced(now) || p.newestByAddr[s.upstream.Addr] != s.upstream.ID {
+	if s.machineUnresponsive() || s.engineUnresponsive(now) || s.replaced(now) || p.currentAt(s.upstream.Addr) != s.upstream.ID {
 		return false
 	}
 	return !p.view.Evacuated[s.upstream.DataCentre] && !now.Before(s.health.ejectedUntil)
