--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -121,6 +122,9 @@
 			}
 		}),
 		Fallback: e.entryClient, Decoder: platform.Decoder{}, Logger: e.logger, ApplyTime: s.ConfigApplyTime(), QuotaWindow: s.QuotaWindow(), OnRecords: e.crashReports.apply,
+		OnInvalid: func(t topicwatch.Name) {
+			e.metrics.GetOrCreateCounter(fmt.Sprintf("jacinthbend_records_skipped_total{topic=%q}", string(t))).Inc()
+		},
 		OnEra: func(era int64) {
 			e.era.set(era)
 			crashes.Republish()
--- a/internal/topicwatch/follower.go
+++ b/internal/topicwatch/follower.go
@@ -23,6 +23,7 @@
 	onChange         func(*fleet.View)
 	onRecords        func(t Name, items []Item, isNew bool)
 	onEra            func(era int64)
+	onInvalid        func(t Name)
 	operatorSchedule PollSchedule
 	memberSchedule   PollSchedule
 
@@ -59,6 +60,8 @@
 	// OnEra is called when the store's era is first known and each time it has risen; it may
 	// be nil, and must not block.
 	OnEra func(era int64)
+	// OnInvalid is called for each record that cannot be decoded; it may be nil.
+	OnInvalid func(t Name)
 	// OnRecords is called with the records of each answer for a topic that is no part of the
 	// view, one call at a time; it may be nil. The first answer may have none. isNew tells
 	// that they were written after those of the last answer.
@@ -68,7 +71,7 @@
 // NewFollower returns a follower without records; Run reads them.
 func NewFollower(o Options) *Follower {
 	f := &Follower{
-		source: o.Source, fallback: o.Fallback, decoder: o.Decoder, logger: o.Logger, onChange: o.OnChange, onRecords: o.OnRecords, onEra: o.OnEra, operatorSchedule: operatorSchedule(o.ApplyTime, o.LongOperatorWait), memberSchedule: memberSchedule(o.QuotaWindow),
+		source: o.Source, fallback: o.Fallback, decoder: o.Decoder, logger: o.Logger, onChange: o.OnChange, onRecords: o.OnRecords, onEra: o.OnEra, onInvalid: o.OnInvalid, operatorSchedule: operatorSchedule(o.ApplyTime, o.LongOperatorWait), memberSchedule: memberSchedule(o.QuotaWindow),
 		era: -1, states: make(map[Name]*state), decoded: make(map[Name]map[string]decodedItem),
 	}
 	for _, t := range []Name{Operators, Upstreams, Members, Crashes} {
--- a/internal/topicwatch/view.go
+++ b/internal/topicwatch/view.go
@@ -7,6 +7,7 @@
 	"github.com/jacinthbend/jacinthbend/internal/telemetry"
 )
 
+// decodedItem is a decoded record, or one that cannot be decoded if value is nil.
 type decodedItem struct {
 	position Position
 	value    any
@@ -70,15 +71,24 @@
 }
 
 // decodeCached decodes a record, or returns the cached value if it was decoded
-// before. A record that cannot be decoded is logged once and skipped.
+// before. A record that cannot be decoded is skipped, and logged unless the one before it
+// under its key could not be either.
 func decodeCached[T any](f *Follower, t Name, key string, it Item, decode func(Item) (T, error)) (T, bool) {
-	if d, ok := f.decoded[t][key]; ok && d.position == it.position() {
-		v, ok := d.value.(T)
+	last, decoded := f.decoded[t][key]
+	if decoded && last.position == it.position() {
+		v, ok := last.value.(T)
 		return v, ok
 	}
 	v, err := decode(it)
 	if err != nil {
-		f.logger.Warn("record cannot be decoded, skipping it", zap.String("topic", string(t)), zap.String("key", key), zap.Int64("offset", it.Offset), telemetry.Err(err))
+		if f.onInvalid != nil {
+			f.onInvalid(t)
+		}
+		log := f.logger.Warn
+		if decoded && last.value == nil {
+			log = f.logger.Debug
+		}
+		log("record cannot be decoded, skipping it", zap.String("topic", string(t)), zap.String("key", key), zap.Int64("offset", it.Offset), telemetry.Err(err))
 		f.decoded[t][key] = decodedItem{position: it.position()}
 		return v, false
 	}
