Ignore quota checkpoints with values that no instance writes

A checkpoint with negative tokens in the store gave a restarted instance a larger share, and one dated far ahead counted as written now. Such a checkpoint counts like one that cannot be decoded.

--- a/internal/managed/quota_checkpoints.go
+++ b/internal/managed/quota_checkpoints.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/jacinthbend/jacinthbend/internal/telemetry"
@@ -66,7 +67,7 @@
 		if item.Key != e.settings.Instance {
 			continue
 		}
-		if err := json.Unmarshal(item.Value, &checkpoint); err != nil {
+		if err := decodeCheckpoint(item.Value, &checkpoint); err != nil {
 			e.logger.Warn("ignoring quota checkpoint that cannot be decoded", zap.Int64("offset", item.Offset), telemetry.Err(err))
 			return tokenquota.Joined, tokenquota.Checkpoint{}, nil
 		}
@@ -77,6 +78,16 @@
 	return start, checkpoint, nil
 }
 
+func decodeCheckpoint(data []byte, c *tokenquota.Checkpoint) error {
+	if err := json.Unmarshal(data, c); err != nil {
+		return errors.Wrap(err, "decode quota checkpoint")
+	}
+	if !c.Valid() {
+		return errors.New("the quota checkpoint has values that no instance writes")
+	}
+	return nil
+}
+
 // writeCheckpoints writes a checkpoint whenever one is due. While the store does
 // not respond, requests are still served without checkpoints. If the instance
 // restarts in that time, a busy team may use up to half of its quota twice.
--- a/internal/tokenquota/checkpoint.go
+++ b/internal/tokenquota/checkpoint.go
@@ -36,6 +36,21 @@
 	Spent map[string][]float64 `json:"spent"`
 }
 
+// maxCheckpointMS is a time far in the future, in Unix milliseconds. Sums with it do not overflow.
+const maxCheckpointMS = 1 << 52
+
+// Valid reports whether an instance can have written the checkpoint.
+func (c Checkpoint) Valid() bool {
+	for _, seconds := range c.Spent {
+		for _, tokens := range seconds {
+			if tokens < 0 {
+				return false
+			}
+		}
+	}
+	return c.At >= 0 && c.At <= maxCheckpointMS && c.Era >= 0
+}
+
 // sum returns the tokens that a team spent.
 func (c Checkpoint) sum(team string) float64 {
 	out := 0.0
