Answer requests that still run when the grace period ends

Callers saw, in a planned stop: a request that came in the first 2.8 s of the grace period, and whose upstream needed longer than was left, was cut at its end with no answer, among them requests that may not be repeated. Later ones were refused already.

Cause: the end of the drain counted what was still running, and let the end of the process close the connections.

Change: 0.4 s before the end of the drain the attempts that still run are given up. A caller that has got nothing is answered: 502, which says that the request may have run, or 503 if it was not sent. A stream that has begun is cut. From 2.8 s on only requests are taken whose deadline is before that moment.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -87,7 +87,7 @@
 	}
 	switch {
 	case ctx.Err() != nil:
-		if r.callerCtx.Err() == nil && !notSent {
+		if r.callerCtx.Err() == nil && r.g.ending.Err() == nil && !notSent {
 			// The deadline passed before the response header came.
 			ticket.End(upstream.Stalled)
 		} else {
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -60,6 +60,9 @@
 	// exiting is cancelled shortly before a draining instance exits.
 	exiting       context.Context
 	cancelExiting context.CancelFunc
+	// ending is cancelled when the requests that still run must be answered.
+	ending       context.Context
+	cancelEnding context.CancelFunc
 	crashChecks   crashChecks
 	// serials counts the requests.
 	serials atomic.Uint64
@@ -75,6 +78,7 @@
 		g.Origins = streamorigin.New(streamorigin.Options{Logger: g.Logger})
 	}
 	g.exiting, g.cancelExiting = context.WithCancel(context.Background())
+	g.ending, g.cancelEnding = context.WithCancel(context.Background())
 	return g
 }
 
@@ -98,6 +102,10 @@
 // draining instance calls it while there is still time to write the responses.
 func (g *Gateway) RefuseWaiting() { g.cancelExiting() }
 
+// EndRunning answers the requests that upstreams are processing. Callers that have got nothing learn
+// that the request may have run; streams that have begun are cut.
+func (g *Gateway) EndRunning() { g.cancelEnding() }
+
 // exitsBefore reports whether a draining instance exits before the deadline of a
 // request and might interrupt it.
 func (g *Gateway) exitsBefore(deadline time.Time) bool {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -30,6 +30,9 @@
 
 // run sends the request to upstreams until one serves it or nothing is left to try.
 func (r *request) run(ctx context.Context) {
+	ctx, cancelRun := context.WithCancel(ctx)
+	defer cancelRun()
+	defer context.AfterFunc(r.g.ending, cancelRun)()
 	waitCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(r.g.exiting, cancel)()
@@ -108,6 +111,11 @@
 		r.callerDisconnected()
 		return true
 	}
+	if r.remaining() > 0 {
+		// The instance ends before the deadline.
+		r.fail(reasonExiting, drainingRetryAfter)
+		return true
+	}
 	switch {
 	case r.writer.started:
 		r.abortStream("the deadline has passed")
@@ -121,17 +129,19 @@
 	return true
 }
 
+// reasonExiting is why a draining instance ends requests.
+const reasonExiting = "the instance is shutting down"
+
 // refuseIfExiting ends a request that still waits when the instance is about to
 // exit, and reports whether it did.
 func (r *request) refuseIfExiting() bool {
-	const reason = "the instance is shutting down"
 	switch {
 	case r.g.exiting.Err() == nil:
 		return false
 	case r.writer.started || r.fallback != nil || r.possibleRuns > 0:
-		r.fail(reason, 0)
+		r.fail(reasonExiting, 0)
 	default:
-		r.refuse(errkind.New(errkind.Draining, reason).WithRetryAfter(drainingRetryAfter))
+		r.refuse(errkind.New(errkind.Draining, reasonExiting).WithRetryAfter(drainingRetryAfter))
 	}
 	return true
 }
--- a/internal/managed/drain.go
+++ b/internal/managed/drain.go
@@ -18,13 +18,16 @@
 	// refusalMargin is how long before the end of the drain the instance refuses
 	// the requests that no upstream is processing. There may be several hundred,
 	// and a slow instance needs this time to write the responses.
-	refusalMargin     = 700 * time.Millisecond
+	refusalMargin = 700 * time.Millisecond
+	// endMargin is how long before the end of the drain the instance answers the requests that
+	// upstreams are still processing.
+	endMargin         = 400 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
 )
 
 // drain serves running requests and those that still arrive. It returns once
 // lateRequestWindow has passed and no request is running, or shortly before the
-// grace period ends (H14).
+// grace period ends (H14). Requests that still run then are answered before.
 func (e *entry) drain() error {
 	start := time.Now()
 	e.logger.Info("draining", zap.Int64("running", e.lifecycle.Running()))
@@ -37,7 +40,7 @@
 	acceptUntil := start.Add(lateRequestWindow)
 	for time.Now().Before(deadline) {
 		if time.Now().After(acceptUntil) {
-			e.gateway.SetExitTime(deadline)
+			e.gateway.SetExitTime(deadline.Add(-endMargin))
 			if e.lifecycle.Running() == 0 {
 				break
 			}
@@ -45,6 +48,9 @@
 		if time.Until(deadline) < refusalMargin {
 			e.gateway.RefuseWaiting()
 		}
+		if time.Until(deadline) < endMargin {
+			e.gateway.EndRunning()
+		}
 		time.Sleep(drainPollInterval)
 	}
 	e.logger.Info("stopped", zap.Int64("cut", e.lifecycle.Running()), zap.Duration("took", time.Since(start)))
