Leave time for the last responses of a planned stop

The drain now ends 0.2 s after the last request, within the margin before the end of the grace period.

--- a/internal/managed/drain.go
+++ b/internal/managed/drain.go
@@ -23,6 +23,9 @@
 	// upstreams are still processing.
 	endMargin         = 400 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
+	// writeMargin is for the responses of the last requests, which are written after the
+	// requests have ended. It is part of exitMargin.
+	writeMargin = 200 * time.Millisecond
 )
 
 // drain serves running requests and those that still arrive. It returns once
@@ -53,6 +56,7 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
+	time.Sleep(writeMargin)
 	e.logger.Info("stopped", zap.Int64("cut", e.lifecycle.Running()), zap.Duration("took", time.Since(start)))
 	return e.lifecycle.Stop()
 }
