--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -63,7 +63,7 @@
 	// ending is cancelled when the requests that still run must be answered.
 	ending       context.Context
 	cancelEnding context.CancelFunc
-	crashChecks   crashChecks
+	crashChecks  crashChecks
 	// serials counts the requests.
 	serials atomic.Uint64
 }
