Take up broken streams in the soak, with engines of two versions

Engines of the soak have one of two software versions, callers take up streams that break off, at most twice, and the checker reports a stream that goes on at a version which has not begun it.

TestTakenUpStreamOfSplitRoute fails without the choice of the service by the first request's id.

--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -86,11 +86,28 @@
 		ctx, cancelEarly = context.WithTimeout(ctx, time.Duration(r.IntN(200))*time.Millisecond)
 		defer cancelEarly()
 	}
-	tb.checker.recordSend(s)
-	a := platformtest.Send(ctx, t, tb.entries[entry].callerLink.addr(), s.Request)
+	a := tb.send(ctx, t, s)
 	if cancels && a.Err != nil {
 		tb.checker.recordCancel(s)
 		return
 	}
 	tb.checker.recordAnswer(s, a)
+	for range maxTakeUps {
+		if s = s.takeUp(a); s == nil {
+			return
+		}
+		if s.entry, ok = tb.pickReadyEntry(r); !ok {
+			return
+		}
+		a = tb.send(ctx, t, s)
+		tb.checker.recordAnswer(s, a)
+	}
+}
+
+// maxTakeUps is how often a caller takes up a stream that breaks off.
+const maxTakeUps = 2
+
+func (tb *testbed) send(ctx context.Context, t *http.Transport, s *sentRequest) platformtest.Response {
+	tb.checker.recordSend(s)
+	return platformtest.Send(ctx, t, tb.entries[s.entry].callerLink.addr(), s.Request)
 }
--- a/bench/soak/checker.go
+++ b/bench/soak/checker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -40,10 +41,39 @@
 	runs       []platformtest.Run
 	// harmful is true if the request crashes the engines that run it.
 	harmful bool
+	// first is the request that brought the first event of the stream that this one takes up,
+	// or nil.
+	first *sentRequest
 	// canceled is true if the caller closed the request before the answer.
 	canceled bool
 }
 
+// mayHaveBegunAt reports whether an upstream of the version has run the request from its start.
+func (s *sentRequest) mayHaveBegunAt(version string) bool {
+	if s.first != nil {
+		s = s.first
+	}
+	return slices.ContainsFunc(s.runs, func(r platformtest.Run) bool { return r.ResumeAfter == "" && r.Version == version })
+}
+
+// takeUp returns the request with which the caller of a stream that broke off takes it up, or nil
+// if it has got no event or all of them.
+func (s *sentRequest) takeUp(a platformtest.Response) *sentRequest {
+	events := strings.Count(a.Body, "\n\n")
+	if first, err := strconv.Atoi(s.ResumeAfter); err == nil {
+		events += first
+	}
+	if !s.kind.stream || a.Err == nil || events == 0 || events >= streamEvents {
+		return nil
+	}
+	out := &sentRequest{Request: s.Request, kind: s.kind, team: s.team, entry: s.entry, first: s}
+	if s.first != nil {
+		out.first = s.first
+	}
+	out.ID, out.Resumes, out.ResumeAfter = s.ID+"+", out.first.ID, strconv.Itoa(events)
+	return out
+}
+
 // checker records what callers and upstreams observe, and collects violations of
 // the platform's guarantees. Its methods lock mu, except addViolation and faultFree,
 // whose callers hold it.
@@ -116,6 +146,9 @@
 	if s.kind.nonIdempotent && len(s.runs) > 1 {
 		c.addViolation("run twice", "%s at %s and %s", r.ID, s.runs[0].Upstream, r.Upstream)
 	}
+	if r.ResumeAfter != "" && !s.mayHaveBegunAt(r.Version) {
+		c.addViolation("joined", "%s goes on at %s of version %s, which has not begun it", r.ID, r.Upstream, r.Version)
+	}
 	if s.answer.NotRun {
 		c.addViolation("refused and run", "%s was answered %d, but runs at %s", r.ID, s.answer.Status, r.Upstream)
 	}
@@ -150,7 +183,8 @@
 	want := s.ID + " " + s.Body
 	if s.kind.stream {
 		var b strings.Builder
-		for i := 1; i <= streamEvents; i++ {
+		after, _ := strconv.Atoi(s.ResumeAfter)
+		for i := after + 1; i <= streamEvents; i++ {
 			fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", i, s.ID)
 		}
 		want = b.String()
--- a/bench/soak/checker_test.go
+++ b/bench/soak/checker_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -42,6 +43,19 @@
 	c.checkHarmful(start)
 }
 
+// recordResumed records a stream that v1 begins and whose caller takes it up, at a version.
+func recordResumed(c *checker, s *sentRequest, version string) {
+	s.kind, s.kind.path = requestKinds[2], s.Path
+	run := runOf(s)
+	run.Version = "v1"
+	c.recordRun(run)
+	again := s.takeUp(platformtest.Response{Status: 200, Body: "id: 1\ndata: r\n\nid: 2", Err: io.ErrUnexpectedEOF})
+	c.recordSend(again)
+	run = runOf(again)
+	run.Version, run.ResumeAfter = version, again.ResumeAfter
+	c.recordRun(run)
+}
+
 // TestChecker checks that the checker reports each kind of violation, and none
 // where no guarantee is broken.
 func TestChecker(t *testing.T) {
@@ -55,6 +69,8 @@
 		{"ran, then refused", "refused and run", func(c *checker, s *sentRequest) { c.recordRun(runOf(s)); c.recordAnswer(s, newAnswer(503, "")) }},
 		{"refused, then ran", "refused and run", func(c *checker, s *sentRequest) { c.recordAnswer(s, newAnswer(429, "")); c.recordRun(runOf(s)) }},
 		{"answer to another request", "wrong answer", func(c *checker, s *sentRequest) { c.recordRun(runOf(s)); c.recordAnswer(s, newAnswer(200, "other b")) }},
+		{"goes on at its version", "", func(c *checker, s *sentRequest) { recordResumed(c, s, "v1") }},
+		{"goes on at another version", "joined", func(c *checker, s *sentRequest) { recordResumed(c, s, "v2") }},
 		{"truncated answer", "wrong answer", func(c *checker, s *sentRequest) { c.recordRun(runOf(s)); c.recordAnswer(s, newAnswer(200, "r")) }},
 		{"unknown request", "unknown request", func(c *checker, s *sentRequest) { c.recordRun(platformtest.Run{ID: "x"}) }},
 		{"another body", "changed request", func(c *checker, s *sentRequest) { r := runOf(s); r.Body = "c"; c.recordRun(r) }},
--- a/bench/soak/testbed.go
+++ b/bench/soak/testbed.go
@@ -172,7 +172,7 @@
 	var registration string
 	if h.engine {
 		e := platformtest.NewEngine(platformtest.EngineOptions{
-			ID: h.id, StartMS: startMS, WeightsMB: 100, ModelMB: 40, MaxAdapters: 4, OnDisk: []string{"m1", "m2", "m3"}, LoadTime: 300 * time.Millisecond,
+			ID: h.id, Version: fmt.Sprintf("v%d", 1+(h.index+h.startCount)%2), StartMS: startMS, WeightsMB: 100, ModelMB: 40, MaxAdapters: 4, OnDisk: []string{"m1", "m2", "m3"}, LoadTime: 300 * time.Millisecond,
 			Events: streamEvents, EventTime: 25 * time.Millisecond, OnRun: func(r platformtest.Run) {
 				tb.checker.recordRun(r)
 				tb.crashUnder(h, r)
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -125,6 +125,18 @@
 	}
 }
 
+// echoedStream answers with an event and the id of the request. If end is false it breaks the
+// stream off.
+func echoedStream(c net.Conn, req receivedRequest, event string, end bool) bool {
+	last := ""
+	if end {
+		last = "0\r\n\r\n"
+	}
+	head := responseHead(200, req.header.Get(requestIDHeader), "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+	_, err := fmt.Fprintf(c, "%s\r\n%x\r\n%s\r\n%s", head, len(event), event, last)
+	return end && err == nil
+}
+
 // TestTakenUpTwice guards against a stream that goes on at another version when its caller takes
 // it up for the second time, naming the first request again, or the one that took it up.
 func TestTakenUpTwice(t *testing.T) {
@@ -133,13 +145,7 @@
 	breaks.Store(true)
 	events := map[string]string{"": event1, "1": event2, "2": event3}
 	answer := func(c net.Conn, req receivedRequest) bool {
-		event, end := events[req.header.Get("Last-Event-Id")], "0\r\n\r\n"
-		if breaks.Load() {
-			end = ""
-		}
-		_, err := fmt.Fprintf(c, "%s\r\n%x\r\n%s\r\n%s",
-			responseHead(200, req.header.Get(requestIDHeader), "Content-Type: text/event-stream", "Transfer-Encoding: chunked"), len(event), event, end)
-		return end != "" && err == nil
+		return echoedStream(c, req, events[req.header.Get("Last-Event-Id")], !breaks.Load())
 	}
 	env := newEnv(t, answer, answer)
 	env.setVersions("v1", "v2")
@@ -166,3 +172,34 @@
 	check.NoErr(resp.err)
 	check.Equal(resp.body, event1+event2+event3)
 }
+
+// TestTakenUpStreamOfSplitRoute guards against a stream that goes on at another service than the
+// one that began it, because the route splits its traffic by the ids of requests.
+func TestTakenUpStreamOfSplitRoute(t *testing.T) {
+	check := is.New(t)
+	answer := func(c net.Conn, req receivedRequest) bool { return echoedStream(c, req, event2, true) }
+	env := newEnv(t, answer, answer)
+	v := *env.view
+	v.Upstreams = make(map[string]*fleet.Upstream)
+	for id, u := range env.view.Upstreams {
+		c := *u
+		c.Service = "s" + id // one service for each upstream
+		v.Upstreams[id] = &c
+	}
+	config := *v.Config
+	config.Routes = append([]fleet.Route{{
+		Name: "split", Host: "h.example", Prefix: "/split/", Kind: fleet.Streaming, Resumable: true, MaxAttempts: 2, Timeout: testTimeout,
+		Targets: []fleet.Target{{Service: "si-0", Weight: 1}, {Service: "si-1", Weight: 1}},
+	}}, config.Routes...)
+	v.Config = &config
+	env.gateway.Origins = streamorigin.New(streamorigin.Options{})
+	env.gateway.Update(&v)
+	const resumes = "Resumes: r1"
+	for i := range 20 {
+		check.Equal(env.send("POST", "/split/", "x", withID(2+i), "Last-Event-Id: 1", resumes).status, 200)
+	}
+	first := env.receivedRequests()[0].upstream
+	for _, r := range env.receivedRequests() {
+		check.Equal(r.upstream, first)
+	}
+}
--- a/internal/upstream/version_test.go
+++ b/internal/upstream/version_test.go
@@ -61,6 +61,30 @@
 			v.Upstreams["i-0"].Holdings = &fleet.Holdings{Adapters: map[string][]string{}}
 			p.Update(v)
 		}, "", false},
+		"model on the disks of others": {func(p *Pool, v *fleet.View, _ *Query) {
+			v = withDraining(v, "")
+			v.Upstreams["i-0"].Holdings = &fleet.Holdings{Adapters: map[string][]string{}}
+			for _, id := range []string{"i-1", "i-2"} {
+				v.Upstreams[id].Holdings = &fleet.Holdings{Adapters: map[string][]string{}, OnDisk: []string{"m"}}
+			}
+			p.Update(v)
+		}, "", false},
+		"plain service": {func(p *Pool, v *fleet.View, q *Query) {
+			v = withDraining(v, "")
+			for _, u := range v.Upstreams {
+				u.Service, u.Holdings = "p", nil
+			}
+			p.Update(v)
+			q.Service, q.Model = "p", ""
+		}, "i-0", false},
+		"plain service, tried": {func(p *Pool, v *fleet.View, q *Query) {
+			v = withDraining(v, "")
+			for _, u := range v.Upstreams {
+				u.Service, u.Holdings = "p", nil
+			}
+			p.Update(v)
+			q.Service, q.Model, q.Tried["i-0"] = "p", "", true
+		}, "", false},
 		"model on disk": {func(p *Pool, v *fleet.View, _ *Query) {
 			v = withDraining(v, "")
 			v.Upstreams["i-0"].Holdings = &fleet.Holdings{Adapters: map[string][]string{}, OnDisk: []string{"m"}}
