Name callers' resumptions and implausible records by their usual terms

Renames only: a caller resumes a stream instead of taking it up, a stream's version is ambiguous instead of unclear, and records are implausible instead of odd. jacinthbend_gateway_streams_taken_up_total is now jacinthbend_gateway_caller_resumes_total.

--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -92,8 +92,8 @@
 		return
 	}
 	tb.checker.recordAnswer(s, a)
-	for range maxTakeUps {
-		if s = s.takeUp(a); s == nil {
+	for range maxResumes {
+		if s = s.resume(a); s == nil {
 			return
 		}
 		if s.entry, ok = tb.pickReadyEntry(r); !ok {
@@ -104,8 +104,8 @@
 	}
 }
 
-// maxTakeUps is how often a caller takes up a stream that breaks off.
-const maxTakeUps = 2
+// maxResumes is how often a caller resumes a stream that breaks off.
+const maxResumes = 2
 
 func (tb *testbed) send(ctx context.Context, t *http.Transport, s *sentRequest) platformtest.Response {
 	tb.checker.recordSend(s)
--- a/bench/soak/checker.go
+++ b/bench/soak/checker.go
@@ -41,7 +41,7 @@
 	runs       []platformtest.Run
 	// harmful is true if the request crashes the engines that run it.
 	harmful bool
-	// first is the request that brought the first event of the stream that this one takes up,
+	// first is the request that brought the first event of the stream that this one resumes,
 	// or nil.
 	first *sentRequest
 	// canceled is true if the caller closed the request before the answer.
@@ -56,9 +56,9 @@
 	return slices.ContainsFunc(s.runs, func(r platformtest.Run) bool { return r.ResumeAfter == "" && r.Version == version })
 }
 
-// takeUp returns the request with which the caller of a stream that broke off takes it up, or nil
+// resume returns the request with which the caller of a stream that broke off resumes it, or nil
 // if it has got no event or all of them.
-func (s *sentRequest) takeUp(a platformtest.Response) *sentRequest {
+func (s *sentRequest) resume(a platformtest.Response) *sentRequest {
 	events := strings.Count(a.Body, "\n\n")
 	if first, err := strconv.Atoi(s.ResumeAfter); err == nil {
 		events += first
--- a/bench/soak/checker_test.go
+++ b/bench/soak/checker_test.go
@@ -43,13 +43,13 @@
 	c.checkHarmful(start)
 }
 
-// recordResumed records a stream that v1 begins and whose caller takes it up, at a version.
+// recordResumed records a stream that v1 begins and whose caller resumes it, at a version.
 func recordResumed(c *checker, s *sentRequest, version string) {
 	s.kind, s.kind.path = requestKinds[2], s.Path
 	run := runOf(s)
 	run.Version = "v1"
 	c.recordRun(run)
-	again := s.takeUp(platformtest.Response{Status: 200, Body: "id: 1\ndata: r\n\nid: 2", Err: io.ErrUnexpectedEOF})
+	again := s.resume(platformtest.Response{Status: 200, Body: "id: 1\ndata: r\n\nid: 2", Err: io.ErrUnexpectedEOF})
 	c.recordSend(again)
 	run = runOf(again)
 	run.Version, run.ResumeAfter = version, again.ResumeAfter
--- a/internal/fleet/request_attributes.go
+++ b/internal/fleet/request_attributes.go
@@ -23,7 +23,7 @@
 	// empty.
 	ResumeAfter string
 	// Resumes is the RequestID of the attempt that brought the first event of the stream that
-	// the caller takes up, or empty if the caller names none or several.
+	// the caller resumes, or empty if the caller names none or several.
 	Resumes string
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -309,7 +309,7 @@
 	if r.route.Resumable && r.events.Events > 0 {
 		r.resumeAfter = r.events.LastID
 	}
-	if r.writer.started && (!r.route.Resumable || r.resumeAfter == "" || r.g.Origins.Unclear(r.attrs.RequestID)) {
+	if r.writer.started && (!r.route.Resumable || r.resumeAfter == "" || r.g.Origins.Ambiguous(r.attrs.RequestID)) {
 		r.abortStream("the stream was interrupted and cannot be resumed")
 		r.recordCrash(crashed)
 		return finished
--- a/internal/gateway/take_up.go
+++ b/internal/gateway/caller_resume.go
@@ -10,26 +10,28 @@
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 )
 
-// takesUp reports whether the caller takes up a stream that broke off.
-func (r *request) takesUp() bool { return r.route.Kind == fleet.Streaming && r.attrs.ResumeAfter != "" }
+// callerResumes reports whether the caller resumes a stream that broke off.
+func (r *request) callerResumes() bool {
+	return r.route.Kind == fleet.Streaming && r.attrs.ResumeAfter != ""
+}
 
-// bindToOrigin restricts a request that takes up a stream to upstreams of the software version that
+// bindToOrigin restricts a request that resumes a stream to upstreams of the software version that
 // began it. It returns an error if that is not known: what two versions write does not fit
 // together, and upstreams do not check it.
 func (r *request) bindToOrigin(ctx context.Context) *errkind.Error {
 	origin, err := r.g.Origins.Resolve(ctx, r.query.Service, r.attrs.Resumes)
 	if err == nil && !slices.ContainsFunc(r.route.Targets, func(t fleet.Target) bool { return t.Service == origin.Service }) {
-		r.g.Stats.countTakeUp("other_service")
+		r.g.Stats.countCallerResume("other_service")
 		return errkind.New(errkind.StreamNotResumable, "the stream began at a service that the route does not go to")
 	}
 	if err != nil {
-		r.g.Stats.countTakeUp("unknown")
+		r.g.Stats.countCallerResume("unknown")
 		return errkind.New(errkind.StreamNotResumable, err.Error()).WithRetryAfter(r.retryAfter(defaultRetryAfter))
 	}
-	r.g.Stats.countTakeUp("known")
+	r.g.Stats.countCallerResume("known")
 	r.query.Service = origin.Service
 	r.query.VersionBound, r.query.Version = true, origin.Version
-	r.g.Logger.Debug("stream taken up", r.requestIDField(), zap.String("resumes", r.attrs.Resumes), zap.String("version", origin.Version))
+	r.g.Logger.Debug("caller resumes a stream", r.requestIDField(), zap.String("resumes", r.attrs.Resumes), zap.String("version", origin.Version))
 	return nil
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -116,7 +116,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.callerCtx, r.deadline)
 	defer cancel()
-	if r.takesUp() {
+	if r.callerResumes() {
 		if err := r.bindToOrigin(ctx); err != nil {
 			r.refuse(err)
 			return
@@ -206,9 +206,9 @@
 }
 
 // firstRequestID returns the id of the request that began the stream: a route that splits its
-// traffic sends what takes it up to the same service.
+// traffic sends the requests that resume it to the same service.
 func (r *request) firstRequestID() string {
-	if r.takesUp() && r.attrs.Resumes != "" {
+	if r.callerResumes() && r.attrs.Resumes != "" {
 		return r.attrs.Resumes
 	}
 	return r.attrs.RequestID
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -27,8 +27,8 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf("jacinthbend_gateway_answers_total{status=\"%d\",kind=%q}", status, kind)).Inc()
 }
 
-func (s *Stats) countTakeUp(origin string) {
-	s.set.GetOrCreateCounter(fmt.Sprintf("jacinthbend_gateway_streams_taken_up_total{origin=%q}", origin)).Inc()
+func (s *Stats) countCallerResume(origin string) {
+	s.set.GetOrCreateCounter(fmt.Sprintf("jacinthbend_gateway_caller_resumes_total{origin=%q}", origin)).Inc()
 }
 
 func (s *Stats) countAttempt(outcome string) {
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -64,9 +64,9 @@
 	}
 }
 
-// TestTakenUpStream checks what a caller gets that takes up a stream at the instance at which it
+// TestCallerResumesAtOtherVersion checks what a caller gets that resumes a stream at the instance at which it
 // began, by what it names.
-func TestTakenUpStream(t *testing.T) {
+func TestCallerResumesAtOtherVersion(t *testing.T) {
 	const (
 		lastEvent = "Last-Event-Id: 1"
 		first     = "Resumes: begun"
@@ -114,7 +114,7 @@
 	}
 }
 
-// chunkedStreamTo answers a request that takes up a stream with events, and others from the first
+// chunkedStreamTo answers a request that resumes a stream with events, and others from the first
 // event on.
 func chunkedStreamTo(events string) script {
 	return func(c net.Conn, req receivedRequest) bool {
@@ -137,9 +137,9 @@
 	return end && err == nil
 }
 
-// TestTakenUpTwice guards against a stream that goes on at another version when its caller takes
-// it up for the second time, naming the first request again, or the one that took it up.
-func TestTakenUpTwice(t *testing.T) {
+// TestCallerResumesTwice guards against a stream that goes on at another version when its caller
+// resumes it for the second time, naming the first request again, or the one that resumed it.
+func TestCallerResumesTwice(t *testing.T) {
 	check := is.New(t)
 	var breaks atomic.Bool
 	breaks.Store(true)
@@ -173,9 +173,9 @@
 	check.Equal(resp.body, event1+event2+event3)
 }
 
-// TestTakenUpStreamOfSplitRoute guards against a stream that goes on at another service than the
+// TestCallerResumesOnSplitRoute guards against a stream that goes on at another service than the
 // one that began it, because the route splits its traffic by the ids of requests.
-func TestTakenUpStreamOfSplitRoute(t *testing.T) {
+func TestCallerResumesOnSplitRoute(t *testing.T) {
 	check := is.New(t)
 	answer := func(c net.Conn, req receivedRequest) bool { return echoedStream(c, req, event2, true) }
 	env := newEnv(t, answer, answer)
--- a/internal/managed/version_cluster_test.go
+++ b/internal/managed/version_cluster_test.go
@@ -100,8 +100,8 @@
 	return c.ranBy(id)
 }
 
-// takeUp takes up the stream that the request resumes began, after its first event.
-func (c *versionCluster) takeUp(entry int, id, resumes string) platformtest.Response {
+// resume resumes the stream that the request resumes began, after its first event.
+func (c *versionCluster) resume(entry int, id, resumes string) platformtest.Response {
 	return c.call(context.Background(), entry, platformtest.Request{ID: id, ResumeAfter: "1", Resumes: resumes})
 }
 
@@ -151,18 +151,18 @@
 	return slices.DeleteFunc(out, func(b begun) bool { return b.version == "" })
 }
 
-// resumption counts what became of streams that were taken up, by the version that began
+// resumption counts what became of streams that their callers resumed, by the version that began
 // them: same went on at that version, joined at another one, and refused did not go on.
 type resumption struct{ same, joined, refused map[string]int }
 
-// takeUpAll takes up all streams, each at another entry instance than the one that began it.
-func (c *versionCluster) takeUpAll(streams []begun) resumption {
+// resumeAll resumes all streams, each at another entry instance than the one that began it.
+func (c *versionCluster) resumeAll(streams []begun) resumption {
 	out := resumption{make(map[string]int), make(map[string]int), make(map[string]int)}
 	var mu sync.Mutex
 	forEach(len(streams), func(i int) {
 		s := streams[i]
 		start := time.Now()
-		resp := c.takeUp((i+1)%len(c.entries), s.id+"-again", s.id)
+		resp := c.resume((i+1)%len(c.entries), s.id+"-again", s.id)
 		took, ran := time.Since(start), c.ranBy(s.id+"-again")
 		mu.Lock()
 		defer mu.Unlock()
@@ -184,7 +184,7 @@
 }
 
 // TestStreamJoinedFromVersions guards against a stream that goes on at another software version
-// than the one that began it when its caller takes it up (ORDER), and against refusing most
+// than the one that began it when its caller resumes it (ORDER), and against refusing most
 // streams that could go on (LOST).
 func TestStreamJoinedFromVersions(t *testing.T) {
 	const streams = 60
@@ -206,7 +206,7 @@
 			began := c.beginAll(streams)
 			<-time.After(500 * time.Millisecond)
 			row.change(c)
-			got := c.takeUpAll(began)
+			got := c.resumeAll(began)
 			t.Logf("begun %d: %+v", len(began), got)
 			check.Equal(len(got.joined), 0)
 			for version := range got.refused {
--- a/internal/streamorigin/entry.go
+++ b/internal/streamorigin/entry.go
@@ -9,6 +9,6 @@
 	// first event.
 	upstream string
 	at       time.Time
-	// unclear tells that the version may be another one.
-	unclear bool
+	// ambiguous tells that the version may be another one.
+	ambiguous bool
 }
--- a/internal/streamorigin/pending.go
+++ b/internal/streamorigin/pending.go
@@ -6,13 +6,13 @@
 
 // pending are the streams to write with the next record.
 type pending struct {
-	began   map[Origin][]key
-	unclear map[string][]key
-	n       int
+	began     map[Origin][]key
+	ambiguous map[string][]key
+	n         int
 }
 
 func newPending() *pending {
-	return &pending{began: make(map[Origin][]key), unclear: make(map[string][]key)}
+	return &pending{began: make(map[Origin][]key), ambiguous: make(map[string][]key)}
 }
 
 // add adds a stream, unless there are too many.
@@ -21,8 +21,8 @@
 		return
 	}
 	p.n++
-	if e.unclear {
-		p.unclear[e.origin.Service] = append(p.unclear[e.origin.Service], k)
+	if e.ambiguous {
+		p.ambiguous[e.origin.Service] = append(p.ambiguous[e.origin.Service], k)
 		return
 	}
 	p.began[e.origin] = append(p.began[e.origin], k)
@@ -45,10 +45,10 @@
 		}
 		r.Services[o.Service] = s
 	}
-	for service, keys := range p.unclear {
+	for service, keys := range p.ambiguous {
 		s := of(service)
 		for _, k := range keys {
-			s.Unclear = append(s.Unclear, k.encode())
+			s.Ambiguous = append(s.Ambiguous, k.encode())
 		}
 		r.Services[service] = s
 	}
--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -21,9 +21,9 @@
 	SeveralMS int64 `json:"several_ms,omitempty"`
 	// Began has the keys of streams by the version that began them, in hexadecimal.
 	Began map[string][]string `json:"began,omitempty"`
-	// Unclear has the keys of streams whose version may be another one than an earlier record
+	// Ambiguous has the keys of streams whose version may be another one than an earlier record
 	// says.
-	Unclear []string `json:"unclear,omitempty"`
+	Ambiguous []string `json:"ambiguous,omitempty"`
 }
 
 func (k key) encode() string { return strconv.FormatUint(uint64(k), 16) }
@@ -56,7 +56,7 @@
 				}
 			}
 		}
-		for _, k := range s.Unclear {
+		for _, k := range s.Ambiguous {
 			if _, err := decodeKey(k); err != nil {
 				return r, err
 			}
--- a/internal/streamorigin/resolve.go
+++ b/internal/streamorigin/resolve.go
@@ -23,7 +23,7 @@
 	peerTimeout = 150 * time.Millisecond
 )
 
-// Resolve returns what began the stream that the caller of service takes up. id is the request
+// Resolve returns what began the stream that the caller of service resumes. id is the request
 // that brought its first event, or empty if the caller does not name it. It asks the log and
 // other instances if this one does not know.
 func (t *Tracker) Resolve(ctx context.Context, service, id string) (Origin, error) {
@@ -61,7 +61,7 @@
 	switch {
 	case a.Known:
 		return Origin{Service: a.Service, Version: a.Version}, true, nil
-	case id != "" && t.Unclear(id):
+	case id != "" && t.Ambiguous(id):
 		return Origin{}, true, ErrUnknown
 	case a.HasSole && a.Covered && a.Fresh:
 		return Origin{Service: service, Version: a.Sole}, true, nil
@@ -77,7 +77,7 @@
 	observed := !t.observedSince.IsZero() && now.Sub(t.observedSince) >= t.retention
 	a := Answer{Covered: t.covered || observed, Fresh: t.o.Log == nil || age(t.confirmedAt, now) <= maxListAge}
 	if id != "" {
-		if e := t.table.get(keyOf(id)); e != nil && !e.unclear {
+		if e := t.table.get(keyOf(id)); e != nil && !e.ambiguous {
 			a.Known, a.Service, a.Version = true, e.origin.Service, e.origin.Version
 		}
 	}
@@ -151,8 +151,8 @@
 				t.putEncoded(k, entry{origin: Origin{Service: service, Version: version}, at: now}, now)
 			}
 		}
-		for _, k := range s.Unclear {
-			t.putEncoded(k, entry{origin: Origin{Service: service}, at: now, unclear: true}, now)
+		for _, k := range s.Ambiguous {
+			t.putEncoded(k, entry{origin: Origin{Service: service}, at: now, ambiguous: true}, now)
 		}
 	}
 }
--- a/internal/streamorigin/table.go
+++ b/internal/streamorigin/table.go
@@ -31,14 +31,14 @@
 }
 
 // put adds an entry. A stream that two upstreams of different versions are said to have begun is
-// unclear.
+// ambiguous.
 func (t *table) put(k key, e entry, now time.Time, retention time.Duration) {
 	if len(t.current) >= maxEntries || now.Sub(t.rotatedAt) >= retention {
 		t.current, t.previous, t.rotatedAt = make(map[key]*entry), t.current, now
 	}
 	if old := t.get(k); old != nil {
 		e.at = old.at
-		e.unclear = e.unclear || old.unclear || old.origin != e.origin
+		e.ambiguous = e.ambiguous || old.ambiguous || old.origin != e.origin
 		if e.upstream == "" {
 			e.upstream = old.upstream
 		}
--- a/internal/streamorigin/tracker.go
+++ b/internal/streamorigin/tracker.go
@@ -12,7 +12,7 @@
 
 const (
 	// minRetention is the shortest time for which streams and versions are remembered. A
-	// caller may take up a stream several times within its own deadline.
+	// caller may resume a stream several times within its own deadline.
 	minRetention = 30 * time.Second
 	// retentionFactor times the longest timeout of a streaming route is remembered too.
 	retentionFactor = 2
@@ -83,7 +83,7 @@
 		}
 		listed[u.Service][u.Version] = true
 		if old := t.upstreams[id]; old != nil && old.StartedAtMS != u.StartedAtMS && old.Version != u.Version {
-			t.doubt(id, now.Add(-restartLag))
+			t.markAmbiguous(id, now.Add(-restartLag))
 		}
 	}
 	t.upstreams = v.Upstreams
@@ -122,11 +122,11 @@
 	})
 }
 
-// doubt marks the streams as unclear that an upstream began since a time.
-func (t *Tracker) doubt(upstream string, since time.Time) {
+// markAmbiguous marks the streams as ambiguous that an upstream began since a time.
+func (t *Tracker) markAmbiguous(upstream string, since time.Time) {
 	t.table.each(func(k key, e *entry) {
-		if e.upstream == upstream && e.at.After(since) && !e.unclear {
-			e.unclear = true
+		if e.upstream == upstream && e.at.After(since) && !e.ambiguous {
+			e.ambiguous = true
 			t.enqueue(k, e)
 		}
 	})
@@ -161,12 +161,12 @@
 	}
 }
 
-// Unclear reports whether the version that began the stream of request id is in doubt.
-func (t *Tracker) Unclear(id string) bool {
+// Ambiguous reports whether the version that began the stream of request id may be another one than is recorded.
+func (t *Tracker) Ambiguous(id string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.table.get(keyOf(id))
-	return e != nil && e.unclear
+	return e != nil && e.ambiguous
 }
 
 // ListConfirmed records that the list of upstreams was current at a time.
--- a/internal/streamorigin/tracker_test.go
+++ b/internal/streamorigin/tracker_test.go
@@ -87,9 +87,9 @@
 // writeTime is longer than a stream takes to be written.
 const writeTime = 2 * minWriteInterval
 
-// TestOriginOfTakenUpStream guards against a stream that is taken to have begun at a version that
+// TestOriginOfResumedStream guards against a stream that is taken to have begun at a version that
 // did not begin it, and against one that is refused although that is known.
-func TestOriginOfTakenUpStream(t *testing.T) {
+func TestOriginOfResumedStream(t *testing.T) {
 	began := func(c *instances, instance int, id, version string) {
 		c.all[instance].Began(id, upstreams(version)[version])
 	}
@@ -250,7 +250,7 @@
 			c.confirm(writeTime)
 			return c.resolve(0, "x")
 		}, "unknown"},
-		"upstream started again under its id, taken up elsewhere": {func(c *instances) string {
+		"upstream started again under its id, resumed elsewhere": {func(c *instances) string {
 			u := upstreams("v1", "v2")
 			c.list(u)
 			c.all[0].Began("x", u["v1"])
--- a/internal/tokenquota/checkpoint_valid_test.go
+++ b/internal/tokenquota/checkpoint_valid_test.go
@@ -7,9 +7,9 @@
 	"github.com/matryer/is"
 )
 
-// TestOddCheckpointRestored guards against a checkpoint of another writer that gives a team tokens
+// TestImplausibleCheckpointRestored guards against a checkpoint of another writer that gives a team tokens
 // or dates what it spent beyond what clocks can tell.
-func TestOddCheckpointRestored(t *testing.T) {
+func TestImplausibleCheckpointRestored(t *testing.T) {
 	for data, valid := range map[string]bool{
 		`{"at":1764900000000,"spent":{"t":[1,0,2.5]}}`: true,
 		`{"at":1764900000000}`:                         true,
--- a/internal/upstream/answer_test.go
+++ b/internal/upstream/answer_test.go
@@ -8,9 +8,9 @@
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 )
 
-// TestSoundUpstreamHiddenByOddEntry guards against an upstream that is out of use for good because
+// TestUpstreamHiddenByForeignEntry guards against an upstream that is out of use for good because
 // another writer's entry names its address and a later start.
-func TestSoundUpstreamHiddenByOddEntry(t *testing.T) {
+func TestUpstreamHiddenByForeignEntry(t *testing.T) {
 	check := is.New(t)
 	v := testView(1, 1)
 	odd := *v.Upstreams["i-0"]
