Make the tests of broken streams and late requests wait for their moments

TestStreamJoinedFromVersions left after 75 ms, on a busy machine before the first event: such a stream is unknown and its refusal says nothing. Callers now leave when they have the first event. TestLateRequestCutWithoutAnswer sent its last requests 0.2 s before the end, so that a late timer could miss it; it is 0.6 s now.

--- a/internal/managed/late_requests_test.go
+++ b/internal/managed/late_requests_test.go
@@ -90,7 +90,7 @@
 	e.stop()
 	stopped := time.Now()
 	var wg sync.WaitGroup
-	for _, after := range []time.Duration{0, 2700 * time.Millisecond, 4 * time.Second, 6 * time.Second, 6900 * time.Millisecond} {
+	for _, after := range []time.Duration{0, 2700 * time.Millisecond, 4 * time.Second, 6 * time.Second, 6500 * time.Millisecond} {
 		for i := range atOnce {
 			path := "/once/x"
 			if i%2 == 0 {
--- a/internal/managed/version_cluster_test.go
+++ b/internal/managed/version_cluster_test.go
@@ -93,22 +93,19 @@
 // begin begins a stream at an entry instance and breaks it off after its first event. It returns
 // the version that ran it.
 func (c *versionCluster) begin(entry int, id string) string {
-	const firstEvent = 75 * time.Millisecond
-	ctx, cancel := context.WithTimeout(context.Background(), firstEvent)
-	defer cancel()
-	c.call(ctx, entry, platformtest.Request{ID: id})
+	c.call(platformtest.Begin, entry, platformtest.Request{ID: id})
 	return c.ranBy(id)
 }
 
 // resume resumes the stream that the request resumes began, after its first event.
 func (c *versionCluster) resume(entry int, id, resumes string) platformtest.Response {
-	return c.call(context.Background(), entry, platformtest.Request{ID: id, ResumeAfter: "1", Resumes: resumes})
+	return c.call(platformtest.Send, entry, platformtest.Request{ID: id, ResumeAfter: "1", Resumes: resumes})
 }
 
-func (c *versionCluster) call(ctx context.Context, entry int, r platformtest.Request) platformtest.Response {
+func (c *versionCluster) call(send func(context.Context, http.RoundTripper, string, platformtest.Request) platformtest.Response, entry int, r platformtest.Request) platformtest.Response {
 	r.Method, r.Host, r.Path, r.Key, r.Model, r.Body = http.MethodPost, "h.example", "/s/x", "key", "m1", "prompt "+r.ID
 	r.Prompt, r.TokensIn, r.TokensOut, r.Deadline = "5a5a:10", 5, 5, 2*time.Second
-	return platformtest.Send(ctx, &http.Transport{DisableKeepAlives: true}, c.entries[entry].CallerAddr, r)
+	return send(context.Background(), &http.Transport{DisableKeepAlives: true}, c.entries[entry].CallerAddr, r)
 }
 
 // ranBy returns the version of the engine that last ran a request, or "".
