Pass no request on while an instance ends

Cause: waits 0.2 s for the last responses after no request runs, and the instance took requests in that time. Without that wait the same could happen in a few milliseconds.

Change: the instance refuses requests from the moment it decides to end, waits for one that began just before, and then for the last responses.

--- a/internal/managed/drain.go
+++ b/internal/managed/drain.go
@@ -41,11 +41,20 @@
 	}
 	deadline := start.Add(e.settings.GracePeriod() - exitMargin)
 	acceptUntil := start.Add(lateRequestWindow)
+	stopped := false
 	for time.Now().Before(deadline) {
 		if time.Now().After(acceptUntil) {
 			e.gateway.SetExitTime(deadline.Add(-endMargin))
 			if e.lifecycle.Running() == 0 {
-				break
+				if stopped {
+					break
+				}
+				// From here on requests are refused. One may have begun just before.
+				if err := e.lifecycle.Stop(); err != nil {
+					return err
+				}
+				stopped = true
+				continue
 			}
 		}
 		if time.Until(deadline) < refusalMargin {
@@ -56,7 +65,12 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
+	if !stopped {
+		if err := e.lifecycle.Stop(); err != nil {
+			return err
+		}
+	}
 	time.Sleep(writeMargin)
 	e.logger.Info("stopped", zap.Int64("cut", e.lifecycle.Running()), zap.Duration("took", time.Since(start)))
-	return e.lifecycle.Stop()
+	return nil
 }
--- a/internal/managed/late_requests_test.go
+++ b/internal/managed/late_requests_test.go
@@ -24,7 +24,7 @@
 "services":[{"name":"p","health_path":"/health","max_conns":1000,"cold_s":0,"cold_per_s":0}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304},"tenants":[]}`
 
-// drainingEntry is an entry instance whose upstream needs longer than the grace period.
+// drainingEntry is an entry instance that can be stopped.
 type drainingEntry struct {
 	addr  string
 	stop  context.CancelFunc
@@ -39,10 +39,11 @@
 
 const lateGrace = 8 * time.Second
 
-func newDrainingEntry(t *testing.T) *drainingEntry {
+// newDrainingEntry starts an instance whose upstream takes latency for each request.
+func newDrainingEntry(t *testing.T, latency time.Duration) *drainingEntry {
 	e := &drainingEntry{ended: make(chan struct{}), ran: make(map[string]bool)}
 	store := platformtest.NewStore()
-	service := &platformtest.Service{ID: "i-1", StartMS: 1, Latency: lateGrace + time.Second, OnRun: func(r platformtest.Run) {
+	service := &platformtest.Service{ID: "i-1", StartMS: 1, Latency: latency, OnRun: func(r platformtest.Run) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.ran[r.ID] = true
@@ -86,7 +87,7 @@
 		atOnce   = 40
 		deadline = 2 * lateGrace
 	)
-	e := newDrainingEntry(t)
+	e := newDrainingEntry(t, lateGrace+time.Second)
 	e.stop()
 	stopped := time.Now()
 	var wg sync.WaitGroup
@@ -127,7 +128,7 @@
 // because the instance ends the connection after an earlier one.
 func TestLateRequestOnKeptConnection(t *testing.T) {
 	check := is.New(t)
-	e := newDrainingEntry(t)
+	e := newDrainingEntry(t, lateGrace+time.Second)
 	c, err := net.Dial("tcp", e.addr)
 	check.NoErr(err)
 	defer func() { _ = c.Close() }()
@@ -150,3 +151,41 @@
 	check.True(resp.Close)
 	check.True(strings.TrimSpace(resp.Header.Get("Retry-After")) != "")
 }
+
+// TestRequestPassedOnAsInstanceEnds guards against requests that an idle instance passes on after it
+// has decided to end, and cuts.
+func TestRequestPassedOnAsInstanceEnds(t *testing.T) {
+	const (
+		latency  = 400 * time.Millisecond
+		interval = 10 * time.Millisecond
+	)
+	e := newDrainingEntry(t, latency)
+	e.stop()
+	<-time.After(lateRequestWindow - time.Second)
+	var wg sync.WaitGroup
+	for i := 0; ; i++ {
+		select {
+		case <-e.ended:
+			wg.Wait()
+			return
+		case <-time.After(interval):
+		}
+		// The instance is idle for a moment after every few requests.
+		if i%100 >= 20 {
+			continue
+		}
+		wg.Go(func() {
+			id := fmt.Sprint(i)
+			resp := platformtest.Send(context.Background(), &http.Transport{DisableKeepAlives: true}, e.addr, platformtest.Request{
+				ID: id, Method: http.MethodPost, Host: "h.example", Path: "/once/x", Body: "x", Deadline: time.Second,
+			})
+			answered := time.Now()
+			<-e.ended
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if e.ran[id] && (resp.Err != nil || answered.After(e.endedAt)) {
+				t.Errorf("request %d was passed on and not answered before the process ended (%v)", i, resp.Err)
+			}
+		})
+	}
+}
