--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Results of a case, as exit codes.
@@ -45,6 +47,13 @@
 		}
 	}
 	b := newBed(filepath.Join(folder, "record.txt"))
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		b.stop()
+		os.Exit(couldNot)
+	}()
 	defer func() {
 		if p := recover(); p != nil {
 			err, ok := p.(error)
