review: case 4, a request that crashes servers after its attempt was given up

Cause: an attempt that is given up after half of its time, or ends with the deadline, is no evidence of a crash; a server that goes on with the request and ends afterwards is attributed to nothing, so the request is never quarantined.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -23,7 +23,7 @@
 	"start-during-store-outage": startDuringStoreOutage,
 	"gone-server":               goneServer,
 	"settings-change":           settingsChange,
-	"upload-burst":              uploadBurst,
+	"harmful-request":           harmfulRequest,
 }
 
 func main() {
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 )
@@ -22,9 +24,11 @@
 	model := f.String("model", "", "the model that it holds; none for a plain service")
 	events := f.Int("events", 10, "events of a stream")
 	interval := f.Duration("interval", 20*time.Millisecond, "time between two events")
+	crashAfter := f.Duration("crash-after", 0, "time until a harmful request ends the process")
+	keepsRunning := f.Bool("keeps-running", false, "a request goes on when its connection has closed")
 	unframed := f.Bool("unframed", false, "answers have no length and end with their connection")
 	check(f.Parse(args))
-	s := &server{id: *id, born: *born, model: *model, events: *events, interval: *interval, unframed: *unframed}
+	s := &server{id: *id, born: *born, model: *model, events: *events, interval: *interval, unframed: *unframed, crashAfter: *crashAfter, keepsRunning: *keepsRunning}
 	ln, err := net.Listen("tcp", *listen)
 	check(err)
 	check(http.Serve(ln, s))
@@ -37,8 +41,14 @@
 	events   int
 	interval time.Duration
 	unframed bool
+	// crashAfter and keepsRunning tell what a harmful request does.
+	crashAfter   time.Duration
+	keepsRunning bool
 }
 
+// harmful is the body of requests that end the server.
+const harmful = "harmful"
+
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -66,6 +76,10 @@
 		return
 	}
 	fmt.Printf("run %s bytes=%d resume=%q\n", id, len(body), r.Header.Get("Last-Event-Id"))
+	if string(body) == harmful {
+		s.crash(r.Context())
+		return
+	}
 	if s.model == "" {
 		w.Header().Set("Jacinthbend-Request-Id", id)
 		w.Header().Set("Jacinthbend-Server-Stamp", "st."+id)
@@ -93,6 +107,21 @@
 	fmt.Printf("end %s\n", id)
 }
 
+// crash ends the process unless the request is dropped before.
+func (s *server) crash(ctx context.Context) {
+	if s.keepsRunning {
+		ctx = context.WithoutCancel(ctx)
+	}
+	select {
+	case <-time.After(s.crashAfter):
+		os.Exit(crashCode)
+	case <-ctx.Done():
+	}
+}
+
+// crashCode is the exit code of a server that crashes.
+const crashCode = 3
+
 // streamUnframed answers without a length; the end of the connection ends the answer.
 func (s *server) streamUnframed(w http.ResponseWriter, id string, first int) {
 	c, rw, err := w.(http.Hijacker).Hijack()
