review: scripts end all their processes and may run at the same time

Servers that were started again at the end of case 4 could be missed by the cleanup, and two scripts could choose the same ports.

--- a/review/harness/bed.go
+++ b/review/harness/bed.go
@@ -115,7 +115,10 @@
 
 // stop ends all processes.
 func (b *bed) stop() {
-	for _, p := range b.procs {
+	b.mu.Lock()
+	procs := append([]*process(nil), b.procs...)
+	b.mu.Unlock()
+	for _, p := range procs {
 		p.kill()
 	}
 	_ = os.RemoveAll(b.dir)
@@ -167,7 +170,7 @@
 	self, err := os.Executable()
 	check(err)
 	p := &process{bed: b, name: id, args: append([]string{self, "server", "--listen", addr, "--id", id, "--born", fmt.Sprint(born)}, args...)}
-	b.procs = append(b.procs, p)
+	b.add(p)
 	p.start()
 	waitFor("server "+id, func() bool {
 		c, err := net.Dial("tcp", addr)
@@ -241,10 +244,17 @@
 	for k, v := range more {
 		p.settings[k] = v
 	}
-	b.procs = append(b.procs, p)
+	b.add(p)
 	return p
 }
 
+// add remembers a process that stop has to end.
+func (b *bed) add(p *process) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.procs = append(b.procs, p)
+}
+
 var placeholder = regexp.MustCompile(`\{\{([a-z_.]+)\|json\}\}`)
 
 // writeSettings fills the template of the role in, as the platform does at each start.
@@ -351,11 +361,12 @@
 
 // freePorts returns the first of 16 free ports in a row, below the range of ephemeral ports.
 func freePorts() int {
-	const count, from, to = 16, 21000, 31000
+	// Scripts that run at the same time begin in different places.
+	const count, from, to, places, perPlace = 16, 21000, 31000, 60, 160
 	nextPorts.Lock()
 	defer nextPorts.Unlock()
 	if nextPorts.port == 0 {
-		nextPorts.port = from + os.Getpid()%500*count
+		nextPorts.port = from + os.Getpid()%places*perPlace
 	}
 	for range (to - from) / count {
 		port := nextPorts.port
--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -180,14 +180,20 @@
 	var mu sync.Mutex
 	var crashes []time.Time
 	over := make(chan struct{})
+	var keepers sync.WaitGroup
 	for i := range servers {
 		args := []string{"--crash-after", crashAfter}
 		if i < keeping {
 			args = append(args, "--keeps-running")
 		}
 		started := make(chan struct{})
-		go func() {
+		keepers.Go(func() {
 			for n := 1; ; n++ {
+				select {
+				case <-over:
+					return
+				default:
+				}
 				p, entry := b.startServer(fmt.Sprintf("i-desk-%d-%d", i, n), "desk", "zone-1", args...)
 				if n == 1 {
 					close(started)
@@ -206,7 +212,7 @@
 				time.Sleep(2 * time.Second)
 				b.store.append("keyed.servers", []record{{key: entry.id}})
 			}
-		}()
+		})
 		<-started
 	}
 	var entries []*process
@@ -241,8 +247,7 @@
 	}
 	wg.Wait()
 	close(over)
-	mu.Lock()
-	defer mu.Unlock()
+	keepers.Wait()
 	late := 0
 	if len(crashes) >= 3 {
 		b.note("the third server crashed at %.3f s", crashes[2].Sub(b.started).Seconds())
