--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -42,6 +42,9 @@
 		return p.pickEngine(q, now)
 	}
 	candidates, wait := p.candidates(q, p.byService[q.Service], nil, now)
+	if len(candidates) == 0 && wait == 0 {
+		return nil, Unavailable{Reason: p.unusableReason(q, now)}
+	}
 	if len(candidates) == 0 {
 		return nil, noCandidate(wait)
 	}
