Suspect requests that were given up when their upstream crashes soon after

Cause: a crash was looked for only when an attempt's connection ended. An upstream that goes on with a request after the attempt was given up, and crashes then, was evidence against nothing.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -85,6 +85,12 @@
 		r.possibleRuns++
 	}
 	switch {
+	case notSent:
+		r.recordRefusedConnection(choice.Upstream, err)
+	case ctx.Err() != nil || detector.stalled():
+		r.givenUp(choice)
+	}
+	switch {
 	case ctx.Err() != nil:
 		if r.callerCtx.Err() == nil && r.g.ending.Err() == nil && !notSent {
 			// The deadline passed before the response header came.
@@ -333,6 +339,9 @@
 // streamInterrupted handles a stream that ended before it was complete. If it can
 // be resumed, or the caller has received nothing of it, another attempt may follow.
 func (r *request) streamInterrupted(ctx context.Context, detector *stallDetector, choice *upstream.Choice, ticket *upstream.Ticket, err error) attemptResult {
+	if ctx.Err() != nil || detector.stalled() {
+		r.givenUp(choice)
+	}
 	if ctx.Err() != nil {
 		ticket.End(upstream.Abandoned)
 		r.endIfDone(ctx)
--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -119,7 +118,7 @@
 		// The result serves other requests, so the check goes on if this caller leaves.
 		result := checkResult{probe: r.g.UpstreamClient.Probe(context.WithoutCancel(ctx), u.Addr)}
 		if result.probe == upstreamclient.Refuses {
-			result.crash = &crash{id: u.ID + "/" + strconv.FormatInt(u.StartedAtMS, 10), cold: cold}
+			result.crash = newCrash(u, cold)
 		}
 		return result
 	})
@@ -140,6 +139,7 @@
 	switch {
 	case found != nil:
 		r.crashFinding = "crashed"
+		r.g.recordUnanswered(u.ID, found)
 	case ctx.Err() != nil:
 		r.crashFinding = "request ended before the check"
 	default:
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -63,6 +63,8 @@
 	ending       context.Context
 	cancelEnding context.CancelFunc
 	crashChecks  crashChecks
+	// unanswered are the requests that were given up at upstreams.
+	unanswered quarantine.Unanswered
 	// serials counts the requests.
 	serials atomic.Uint64
 }
@@ -86,7 +88,9 @@
 	entries := v.EntryNames()
 	g.table.update(v.Config)
 	g.Origins.Observe(v)
+	suspected := g.unansweredUpstreams()
 	g.Pool.Update(v)
+	g.recordReplaced(suspected)
 	g.Quota.Configure(v.Config, entries)
 	g.RetryBudget.SetEntryCount(len(entries))
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -350,3 +350,14 @@
 	}
 	return false
 }
+
+// Upstream returns the upstream called id, and whether it is known.
+func (p *Pool) Upstream(id string) (*fleet.Upstream, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.states[id]
+	if !ok {
+		return nil, false
+	}
+	return s.upstream, true
+}
