Keep the last copy of a model that is loaded nowhere else

Cause: engines unloaded the only copy of a model for one that nobody asked for; the copy on the engine's disk then made place for the new one. Models of engines that had announced their end were loaded elsewhere two seconds after they had gone, and the weight store was busy with loads of models without demand. Change: agents learn how many other engines have each model. A background load displaces a last copy only if callers ask for the new model; loads go where no model is lost; models of leaving engines are loaded at once; while callers send requests, the last place at the weight store is kept for a model that they ask for; a number of concurrent loads that slowed them is not tried again for a minute.

--- a/internal/agentapi/state.go
+++ b/internal/agentapi/state.go
@@ -85,4 +85,7 @@
 	InFlight int `json:"in_flight"`
 	// Copies is the number of upstreams that hold it.
 	Copies int `json:"copies"`
+	// Elsewhere is the number of other upstreams that have the model loaded, in memory or on disk. While
+	// there are none, the upstream may be the only place outside the weight store that has it.
+	Elsewhere int `json:"elsewhere,omitempty"`
 }
--- a/internal/engineagent/demand.go
+++ b/internal/engineagent/demand.go
@@ -57,6 +57,7 @@
 		u.Demand += item.Requested
 		u.InFlight += item.InFlight
 		u.Copies = max(u.Copies, item.Copies)
+		u.Elsewhere = max(u.Elsewhere, item.Elsewhere)
 	}
 	return u
 }
--- a/internal/modelplacement/input.go
+++ b/internal/modelplacement/input.go
@@ -42,6 +42,8 @@
 	// Copies is the number of engines that have the model loaded, this one
 	// included.
 	Copies int
+	// Elsewhere is the number of other engines that have the model loaded, in memory or on disk.
+	Elsewhere int
 	// LastUsed is when a request was last sent here.
 	LastUsed time.Time
 	// LoadedAt is when this agent first saw the model loaded.
--- a/internal/modelplacement/next.go
+++ b/internal/modelplacement/next.go
@@ -23,6 +23,12 @@
 	// demand for the new copy, so that two models of about the same demand do not
 	// displace each other.
 	maxVictimDemandRatio = 0.6
+	// minLastCopyDemand is the demand for a background load from which on it may displace the last copy
+	// of a model outside the weight store, in requests, and maxLastCopyDemandRatio limits the demand for
+	// that model. To load it again takes ten seconds and keeps the weight store from loading another one,
+	// so such an exchange only pays for a model that callers ask for now.
+	minLastCopyDemand      = 2.5
+	maxLastCopyDemandRatio = 0.2
 )
 
 // Next returns the next action, of kind None if there is nothing to do.
@@ -57,7 +63,7 @@
 	if FreeMemoryMB(in.Engine, in.Holdings) >= model.WeightsMB {
 		return Action{Kind: Load, Model: r.Model, FromStore: fromStore, Reason: "enough free memory"}
 	}
-	victim, ok := chooseVictim(in, r)
+	victim, ok := chooseVictim(in, r, fromStore)
 	if !ok {
 		return Action{}
 	}
@@ -75,37 +81,73 @@
 	return free
 }
 
-// chooseVictim chooses the model to unload for r. It prefers models without
-// running requests, and among them the one with the least demand per copy.
-func chooseVictim(in Input, r LoadRequest) (string, bool) {
-	type candidate struct {
-		name          string
-		usage         Usage
-		demandPerCopy float64
-	}
-	var candidates []candidate
+// victim is a loaded model that may be unloaded.
+type victim struct {
+	name          string
+	usage         Usage
+	demandPerCopy float64
+	// lastCopy tells that only the weight store would have the model afterwards.
+	lastCopy bool
+}
+
+// chooseVictim chooses the model to unload for r. It prefers models without running requests, then those
+// of which another copy remains outside the weight store, and among them the one with the least demand
+// per copy.
+//
+// It answers a shift of demand among more models than fit: to displace the only copy of a model that is
+// asked for next exchanges one missing model for another.
+func chooseVictim(in Input, r LoadRequest, fromStore bool) (string, bool) {
+	var candidates []victim
 	for name := range in.Holdings.Adapters {
-		u := in.Usage[name]
-		if r.Waiting == 0 && (u.InFlight > 0 || demandPerCopy(u) >= maxVictimDemandRatio*r.Demand) {
-			continue
-		}
-		if u.InFlight > 0 && in.Now.Sub(r.Since) < busyModelGrace {
-			continue
+		if v := newVictim(in, name, fromStore); mayDisplace(in, r, v) {
+			candidates = append(candidates, v)
 		}
-		if in.Now.Sub(u.LoadedAt) < minResidency && in.Now.Sub(u.LastUsed) < minResidency {
-			continue
-		}
-		candidates = append(candidates, candidate{name, u, demandPerCopy(u)})
 	}
 	if len(candidates) == 0 {
 		return "", false
 	}
-	least := slices.MinFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(
-			cmp.Compare(min(1, a.usage.InFlight), min(1, b.usage.InFlight)),
-			cmp.Compare(a.demandPerCopy, b.demandPerCopy), a.usage.LastUsed.Compare(b.usage.LastUsed), cmp.Compare(a.name, b.name))
-	})
-	return least.name, true
+	return slices.MinFunc(candidates, compareVictims).name, true
+}
+
+// newVictim describes a loaded model. If the load that displaces it comes from the weight store, the new
+// copy on the engine's disk may take the place of the one that remains of it.
+func newVictim(in Input, name string, fromStore bool) victim {
+	u := in.Usage[name]
+	atHand := !fromStore && (slices.Contains(in.Holdings.InMemory, name) || slices.Contains(in.Holdings.OnDisk, name))
+	return victim{name: name, usage: u, demandPerCopy: demandPerCopy(u), lastCopy: !atHand && u.Elsewhere == 0 && u.Copies <= 1}
+}
+
+// mayDisplace reports whether v may be unloaded for r.
+func mayDisplace(in Input, r LoadRequest, v victim) bool {
+	background := r.Waiting == 0
+	switch {
+	case background && (v.usage.InFlight > 0 || v.demandPerCopy >= maxVictimDemandRatio*r.Demand):
+		return false
+	case background && v.lastCopy && (r.Demand < minLastCopyDemand || v.demandPerCopy >= maxLastCopyDemandRatio*r.Demand):
+		return false
+	case v.usage.InFlight > 0 && in.Now.Sub(r.Since) < busyModelGrace:
+		return false
+	default:
+		return in.Now.Sub(v.usage.LoadedAt) >= minResidency || in.Now.Sub(v.usage.LastUsed) >= minResidency
+	}
+}
+
+func compareVictims(a, b victim) int {
+	return cmp.Or(
+		cmp.Compare(min(1, a.usage.InFlight), min(1, b.usage.InFlight)), compareBool(a.lastCopy, b.lastCopy),
+		cmp.Compare(a.demandPerCopy, b.demandPerCopy), a.usage.LastUsed.Compare(b.usage.LastUsed), cmp.Compare(a.name, b.name))
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
 }
 
 func demandPerCopy(u Usage) float64 { return u.Demand / float64(max(1, u.Copies)) }
--- a/internal/upstream/model_demand.go
+++ b/internal/upstream/model_demand.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jacinthbend/jacinthbend/internal/agentapi"
+	"github.com/jacinthbend/jacinthbend/internal/fleet"
 )
 
 // demandHalfLife is the half-life of the decayed request counts. It is short
@@ -136,8 +137,9 @@
 		d := agentapi.Demand{
 			Name: name, Copies: p.copyCounts[copyKey{s.upstream.Service, name}],
 			Sent: u.Sent, InFlight: u.InFlight, Requested: src.Requested(name, now),
+			Elsewhere: max(0, p.availableCounts[copyKey{s.upstream.Service, name}]-1),
 		}
-		if d.Sent > 0 || d.InFlight > 0 || d.Requested > minReportedDemand {
+		if d.Sent > 0 || d.InFlight > 0 || d.Requested > minReportedDemand || d.Elsewhere > 0 {
 			out = append(out, d)
 		}
 	}
@@ -197,7 +199,7 @@
 	if now.Sub(p.copyCountsAt) < maxCopyCountAge && p.copyCounts != nil {
 		return
 	}
-	p.copyCounts, p.copyCountsAt = make(map[copyKey]int), now
+	p.copyCounts, p.availableCounts, p.copyCountsAt = make(map[copyKey]int), make(map[copyKey]int), now
 	for _, s := range p.states {
 		h := s.holdings(now)
 		if h == nil || !p.usable(s, now) {
@@ -209,5 +211,23 @@
 				p.copyCounts[copyKey{s.upstream.Service, model + "/" + a}]++
 			}
 		}
+		for model := range heldModels(h) {
+			p.availableCounts[copyKey{s.upstream.Service, model}]++
+		}
+	}
+}
+
+// heldModels returns the models that are loaded, in memory or on disk.
+func heldModels(h *fleet.Holdings) map[string]struct{} {
+	out := make(map[string]struct{}, len(h.Adapters)+len(h.InMemory)+len(h.OnDisk))
+	for model := range h.Adapters {
+		out[model] = struct{}{}
 	}
+	for _, model := range h.InMemory {
+		out[model] = struct{}{}
+	}
+	for _, model := range h.OnDisk {
+		out[model] = struct{}{}
+	}
+	return out
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -50,8 +50,11 @@
 	lastAvailable map[string]time.Time
 	// copyCounts is how many usable upstreams have a model or adapter loaded, by
 	// service and name, as of copyCountsAt.
-	copyCounts   map[copyKey]int
-	copyCountsAt time.Time
+	copyCounts map[copyKey]int
+	// availableCounts is how many usable upstreams have a model loaded, in memory or on disk, as of
+	// copyCountsAt.
+	availableCounts map[copyKey]int
+	copyCountsAt    time.Time
 	// loadProgress has the channels to close when an engine starts or ends to load a
 	// model.
 	loadProgress map[copyKey]chan struct{}
@@ -160,7 +163,7 @@
 	defer p.mu.Unlock()
 	if s, ok := p.states[upstreamID]; ok && !s.agentReportOutdated(st, at) {
 		if s.agent != nil && s.agent.LoadingFromStore && st.Reachable && !st.LoadingFromStore {
-			p.storeLimitFor(s.upstream.Service).recordLoad(st.StoreSlowdown, p.runningStoreLoads(s.upstream.Service, time.Now()))
+			p.storeLimitFor(s.upstream.Service).recordLoad(st.StoreSlowdown, p.runningStoreLoads(s.upstream.Service, time.Now()), time.Now())
 		}
 		p.signalLoadProgress(s, st)
 		changed := s.agent == nil || s.agent.Holdings != st.Holdings || s.agent.Loading != st.Loading || !slices.Equal(s.agent.LoadQueue, st.LoadQueue)
--- a/internal/upstream/store_limit.go
+++ b/internal/upstream/store_limit.go
@@ -1,6 +1,9 @@
 package upstream
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Parameters of the limit on concurrent loads from the weight store.
 const (
@@ -11,6 +14,9 @@
 	// maxFullSpeedSlowdown is the slowdown up to which a load counts as running
 	// at full speed.
 	maxFullSpeedSlowdown = 1.2
+	// slowedTTL is for how long the limit does not return to a number of loads that was too many. A
+	// load at that number takes all others with it.
+	slowedTTL = time.Minute
 )
 
 // storeLimit is an adaptive limit on concurrent loads from the weight store by
@@ -22,7 +28,12 @@
 // The limit matters when several engines are lost at once. Dozens of models are
 // then only in the weight store, and loading all of them at once would keep every
 // engine from loading adapters and models that it has on disk.
-type storeLimit struct{ learned int }
+type storeLimit struct {
+	learned int
+	// slowed is the smallest number of concurrent loads at which one was slowed down, as of slowedAt.
+	slowed   int
+	slowedAt time.Time
+}
 
 func (l *storeLimit) limit() int {
 	if l.learned == 0 {
@@ -33,12 +44,15 @@
 
 // recordLoad adjusts the limit after a load that took slowdown times its
 // nominal time. running is the number of concurrent loads, itself included.
-func (l *storeLimit) recordLoad(slowdown float64, running int) {
+func (l *storeLimit) recordLoad(slowdown float64, running int, now time.Time) {
 	switch {
 	case slowdown <= 0:
 	case slowdown > maxFullSpeedSlowdown:
+		if running > 1 && (l.slowed == 0 || running < l.slowed || now.Sub(l.slowedAt) > slowedTTL) {
+			l.slowed, l.slowedAt = running, now
+		}
 		l.learned = min(l.limit(), max(1, int(math.Round(float64(running)/slowdown))))
-	case running >= l.limit():
+	case running >= l.limit() && (l.slowed == 0 || l.limit()+1 < l.slowed || now.Sub(l.slowedAt) > slowedTTL):
 		l.learned = min(maxStoreLimit, l.limit()+1)
 	}
 }
--- a/internal/upstream/store_loads.go
+++ b/internal/upstream/store_loads.go
@@ -100,6 +100,7 @@
 		e.state.eachAvailable(now, func(model string) { available[model] = true })
 	}
 	engines = slices.DeleteFunc(engines, func(e candidate) bool { return !e.state.hasAgentState(now) })
+	leaving := p.heldByLeaving(service, now)
 	var wanted []StoreLoad
 	for model := range spec.Models {
 		key := service + "/" + model
@@ -109,7 +110,7 @@
 			if demand := p.storeReplicaDemand(service, model, engines, now); demand > 0 {
 				wanted = append(wanted, StoreLoad{Model: model, Demand: demand})
 			}
-		case now.Sub(p.lastAvailable[key]) > noCopyGrace:
+		case now.Sub(p.lastAvailable[key]) > noCopyGrace || leaving[model]:
 			demand := max(minStoreDemand, storeDemandFactor*p.demandSource().Demand(model, now).Requests)
 			wanted = append(wanted, StoreLoad{Model: model, Demand: demand})
 		}
@@ -120,6 +121,11 @@
 	free := max(0, p.storeLimitFor(service).limit()-p.runningStoreLoads(service, now))
 	var out []StoreLoad
 	for _, w := range wanted[:min(free, len(wanted))] {
+		if w.Demand <= minStoreDemand && len(out)+1 >= free && p.demanded(now) {
+			// While callers send requests, the last place is kept for a model that they ask for: a load
+			// cannot be interrupted.
+			break
+		}
 		// The rank changes with each slot, so that another engine is tried if the
 		// first has no model that may be displaced.
 		var withoutModel []candidate
@@ -129,7 +135,8 @@
 				withoutModel = append(withoutModel, e)
 			}
 		}
-		c := p.fastestLoad(&Query{Service: service, Model: w.Model}, withoutLimit(withoutModel), now)
+		withoutModel = p.leastDisplacing(withoutLimit(withoutModel), spec, w.Model, now)
+		c := p.fastestLoad(&Query{Service: service, Model: w.Model}, withoutModel, now)
 		if c == nil {
 			continue
 		}
@@ -202,3 +209,27 @@
 	ahead := float64(p.runningStoreLoads(q.Service, now)) / float64(p.storeLimitFor(q.Service).limit())
 	return load + time.Duration(ahead*float64(load)) + storeSlot
 }
+
+// demanded reports whether callers have sent requests for models lately.
+func (p *Pool) demanded(now time.Time) bool {
+	for _, d := range p.demands {
+		if d.requestsAt(now) > minStoreDemand {
+			return true
+		}
+	}
+	return false
+}
+
+// heldByLeaving returns the models that engines have which have announced their end. Unlike an engine
+// that crashed, they do not come back with what is on their disks.
+func (p *Pool) heldByLeaving(service string, now time.Time) map[string]bool {
+	out := make(map[string]bool)
+	for s := range p.byService[service] {
+		if h := s.holdings(now); h != nil && s.leaves(now) {
+			for model := range heldModels(h) {
+				out[model] = true
+			}
+		}
+	}
+	return out
+}
