Learn the speed of each upstream and decode four load figures

Cause: the estimate of the time to first token used constants for one kind of engine, and a load of four figures was refused as malformed. Change: internal/speed learns factors by upstream, model, prompt size, queue and running requests from the responses; internal/upstream uses them in Pick, overload, demand; the gateway logs and measures the estimate's parts and the pauses between events; stall bounds grow at upstreams that are slow. platform decodes the fourth figure, and an undecodable load is logged once per upstream. The accuracy is not measured yet.

--- a/internal/fleet/response_attributes.go
+++ b/internal/fleet/response_attributes.go
@@ -19,10 +19,11 @@
 	Instance string
 	// WeightsVersion is the version of the model that the upstream runs, or empty.
 	WeightsVersion string
-	// HasLoad tells whether Running, Waiting and Slots are known: the upstream's
-	// running and queued requests, and how many it runs at once.
-	HasLoad                 bool
-	Running, Waiting, Slots int
+	// HasLoad tells whether the header stated the upstream's load.
+	HasLoad bool
+	ServerLoad
+	// InvalidLoad is the start of a stated load that could not be decoded, or empty.
+	InvalidLoad string
 	// RateLimit is how many requests a second the upstream takes from all instances
 	// together, at least MinRateLimit; 0 means that it names no limit.
 	RateLimit float64
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -34,12 +34,13 @@
 	again := slices.Contains(r.upstreams, id)
 	r.upstreams, r.versions = append(r.upstreams, id), append(r.versions, choice.Upstream.Version)
 	r.estimatedTTFT = choice.Delay
+	r.progress = attemptProgress{sentAt: time.Now(), estimate: ticket.Estimate()}
 	if r.firstSentAt.IsZero() {
 		r.firstSentAt = time.Now()
 	}
 	// Has an effect only if the attempt panics.
 	defer ticket.End(upstream.Abandoned)
-	detector := r.newStallDetector(ctx, id)
+	detector := r.newStallDetector(ctx, choice)
 	defer detector.stop()
 	resp, err := r.g.UpstreamClient.Do(detector.ctx, choice.Upstream.Addr, &upstreamclient.Request{
 		Method: r.method, URI: r.uri, Host: r.host, Header: r.g.Dialect.ForwardHeader(r.header, r.forwardAttributes(choice)),
@@ -62,6 +63,7 @@
 	if pause > 0 {
 		r.g.Logger.Info("upstream wants no requests for a while", r.requestIDField(), zap.String("upstream", id), zap.Duration("pause", pause))
 	}
+	r.learnSpeed(choice, ticket, resp.Status, attrs)
 	if attrs.NotExecuted || resp.Status == http.StatusMisdirectedRequest {
 		return r.notExecuted(choice, ticket, resp, attrs)
 	}
@@ -279,9 +281,11 @@
 			detector.dataReceived()
 			ticket.DataReceived()
 		}
+		before := r.events.Events
 		events, err := r.events.Add(buf[:n])
 		if len(events) > 0 {
 			detector.eventReceived()
+			r.eventsReceived(ticket, r.events.Events-before)
 			r.recordOrigin(choice.Upstream)
 			r.startStream(resp.Status, header)
 			r.lastEventAt = time.Now()
@@ -291,6 +295,9 @@
 				r.callerDisconnected()
 				return finished
 			}
+			if time.Since(r.lastEventAt) > maxUncountedWrite {
+				ticket.EventsDelayed()
+			}
 		}
 		if err == nil && !r.buffers.resize(fallback+r.events.Capacity()) {
 			resp.Close(false)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -76,6 +76,7 @@
 	// estimatedTTFT is the estimated time to the first token at the upstream of
 	// the last attempt.
 	estimatedTTFT time.Duration
+	progress      attemptProgress
 
 	status int
 	kind   errkind.Kind
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -200,6 +200,7 @@
 	r.query = upstream.Query{
 		Service: targetService(r.route, r.firstRequestID()), Model: r.attrs.Model, Adapter: r.attrs.Adapter,
 		Prompt: r.attrs.Prompt, TokensIn: r.attrs.TokensIn, Objective: r.route.Objective,
+		EventInterval: r.route.EventInterval, Repeatable: r.route.Retryable(),
 		Urgency: r.urgency(), DataCentre: r.g.DataCentre, Tried: make(map[string]bool),
 	}
 	return nil
@@ -299,6 +300,7 @@
 	}
 	if !r.firstByteAt.IsZero() {
 		fields = append(fields, zap.Duration("first_byte_after", r.firstByteAt.Sub(r.start)), zap.Duration("expected", r.estimatedTTFT), zap.Duration("load_wait", r.loadWait), zap.Duration("rate_wait", r.rateWait))
+		fields = append(fields, r.progress.fields()...)
 	}
 	if r.kind == "" {
 		r.g.Logger.Info("request served", fields...)
--- a/internal/gateway/stall_detector.go
+++ b/internal/gateway/stall_detector.go
@@ -8,6 +8,7 @@
 
 	"github.com/jacinthbend/jacinthbend/internal/background"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
+	"github.com/jacinthbend/jacinthbend/internal/upstream"
 )
 
 // errStalled is the reason for cancelling an attempt at an upstream that sends nothing.
@@ -22,7 +23,8 @@
 	// responseTimeoutShare is the share of the remaining time within which an
 	// idempotent request without a model must receive the response header, and then
 	// each further minProgressBytes, unless it is the last attempt. Processing takes
-	// a tenth of the timeout.
+	// a tenth of the timeout. An upstream that usually takes longer gets slowWorkFactor
+	// times its usual time.
 	responseTimeoutShare = 0.5
 	// minProgressBytes is what a body must grow by to count as progress, so that an
 	// upstream that sends a byte now and then is not waited for until the deadline.
@@ -43,6 +45,31 @@
 	return max(minEventGap, eventGapObjectives*route.Objective, eventGapIntervals*route.EventInterval)
 }
 
+const (
+	// slowWorkFactor is how many times its usual time a sound upstream may take: other
+	// work slows machines down by up to 2.5.
+	slowWorkFactor = 2.5
+	// maxGapFactor bounds attemptEventGap by multiples of maxEventGap, so that an upstream
+	// that was frozen lately is not waited for that long again.
+	maxGapFactor = 2
+)
+
+// responseTimeout is how long an attempt may take to its response header if the upstream
+// usually takes the time typical, 0 if unknown.
+func responseTimeout(remaining, typical time.Duration) time.Duration {
+	slow := time.Duration(slowWorkFactor * float64(typical))
+	return max(time.Duration(responseTimeoutShare*float64(remaining)), min(remaining, slow))
+}
+
+// attemptEventGap is how long an attempt may go without a complete event: maxEventGap, or
+// longer at an upstream that is sound but slow, with this estimated time to the first event
+// and this longest recent pause between events.
+func attemptEventGap(route *fleet.Route, firstEvent, pause time.Duration) time.Duration {
+	limit := maxEventGap(route)
+	slow := time.Duration(slowWorkFactor * float64(max(firstEvent, pause)))
+	return max(limit, min(maxGapFactor*limit, slow))
+}
+
 // stallDetector cancels an attempt or a load that stalls, so that the request can
 // go to another upstream. It is meant for frozen machines: connections to an
 // engine there stay open and accept requests, but the response comes seconds later.
@@ -64,23 +91,22 @@
 	bodyBytes       int
 }
 
-// newStallDetector returns a detector for an attempt at the upstream with the
-// given id. It cancels nothing if the request may not run again elsewhere.
-func (r *request) newStallDetector(ctx context.Context, upstreamID string) *stallDetector {
+// newStallDetector returns a detector for an attempt at the chosen upstream. It cancels nothing if the request may not run again elsewhere.
+func (r *request) newStallDetector(ctx context.Context, choice *upstream.Choice) *stallDetector {
 	d := &stallDetector{}
 	d.ctx, d.cancel = context.WithCancelCause(ctx)
 	if !r.route.Retryable() || r.possibleRuns+1 >= r.route.MaxAttempts {
 		return d
 	}
 	if r.query.Model == "" && r.route.Kind == fleet.Idempotent {
-		d.responseTimeout = time.Duration(responseTimeoutShare * float64(r.remaining()))
+		d.responseTimeout = responseTimeout(r.remaining(), choice.TypicalWork)
 		d.responseTimer = time.AfterFunc(d.responseTimeout, func() { d.cancel(errStalled) })
 		return d
 	}
-	d.maxEventGap = maxEventGap(r.route)
+	d.maxEventGap = attemptEventGap(r.route, choice.Estimate.Total(), choice.LongestPause)
 	d.eventReceived()
 	d.dataReceived()
-	r.monitor(d, upstreamID)
+	r.monitor(d, choice.Upstream.ID)
 	return d
 }
 
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -10,16 +10,21 @@
 type Stats struct {
 	set                 *metrics.Set
 	requests, firstByte *metrics.Histogram
-	quarantined         *metrics.Counter
+	// eventPause has the intervals between the events of upstreams, estimateRatio the time
+	// to the first event of an attempt divided by its estimate.
+	eventPause, estimateRatio *metrics.Histogram
+	quarantined               *metrics.Counter
 }
 
 // NewStats registers the metrics in set.
 func NewStats(set *metrics.Set) *Stats {
 	return &Stats{
-		set:         set,
-		requests:    set.NewHistogram("jacinthbend_gateway_request_seconds"),
-		firstByte:   set.NewHistogram("jacinthbend_gateway_first_byte_seconds"),
-		quarantined: set.NewCounter("jacinthbend_gateway_quarantined_total"),
+		set:           set,
+		requests:      set.NewHistogram("jacinthbend_gateway_request_seconds"),
+		firstByte:     set.NewHistogram("jacinthbend_gateway_first_byte_seconds"),
+		eventPause:    set.NewHistogram("jacinthbend_event_pause_seconds"),
+		estimateRatio: set.NewHistogram("jacinthbend_estimate_ratio"),
+		quarantined:   set.NewCounter("jacinthbend_gateway_quarantined_total"),
 	}
 }
 
--- /dev/null
+++ b/internal/speed/group.go
@@ -0,0 +1,111 @@
+package speed
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Group is what is known of the speed of a service's upstreams together. It is not safe for
+// concurrent use.
+type Group struct {
+	upstreams map[*Upstream]struct{}
+	models    map[string]*factor
+	// sizes is the time to read a prompt by its size class, queue that of a queued request
+	// and running that of a running request, relative to the start values. The ratios are the
+	// factors in use.
+	sizes                    [sizeClasses]factor
+	sizeRatios               [sizeClasses]float64
+	queue, running           factor
+	queueRatio, runningRatio float64
+	fixed                    fixedTime
+	// plainMS is the running median of the time of plain work, 0 if unknown.
+	plainMS           float64
+	medians           medians
+	engineMedianRatio float64
+	mediansAt         time.Time
+}
+
+// medians are those of the logarithms of the upstreams' factors.
+type medians struct{ engine, step, plain float64 }
+
+// Parameters of the medians.
+const (
+	// medianInterval is how often they are computed, which takes time in proportion to
+	// the number of upstreams.
+	medianInterval = 2 * time.Second
+	// knownWeight is the weight from which an upstream counts as known.
+	knownWeight = 3.0
+)
+
+// NewGroup returns a group in which nothing is known.
+func NewGroup() *Group {
+	g := &Group{upstreams: make(map[*Upstream]struct{}), models: make(map[string]*factor), queueRatio: 1, runningRatio: 1, engineMedianRatio: 1}
+	for i := range g.sizeRatios {
+		g.sizeRatios[i] = 1
+	}
+	return g
+}
+
+// Add returns a new upstream of the group, of which nothing is known but the others.
+func (g *Group) Add(now time.Time) *Upstream {
+	u := &Upstream{group: g}
+	u.refresh(now)
+	g.upstreams[u] = struct{}{}
+	return u
+}
+
+// Remove removes an upstream.
+func (g *Group) Remove(u *Upstream) { delete(g.upstreams, u) }
+
+// Reset forgets what is known of an upstream, for example if its software has changed.
+func (g *Group) Reset(u *Upstream, now time.Time) {
+	*u = Upstream{group: g}
+	u.refresh(now)
+}
+
+// Model returns the time of a model's work relative to the others.
+func (g *Group) Model(name string) float64 {
+	if f, ok := g.models[name]; ok {
+		return math.Exp(f.log)
+	}
+	return 1
+}
+
+// PrefillMS returns the time to read a prompt at the median upstream.
+func (g *Group) PrefillMS(model string, tokens int) float64 {
+	return g.engineMedianRatio * g.Model(model) * g.sizeRatios[sizeClass(tokens)] * float64(tokens) / PrefillTokensPerMS
+}
+
+// updateMedians computes the medians if they are old, and the factors in use of all
+// upstreams from them.
+func (g *Group) updateMedians(now time.Time) {
+	if now.Sub(g.mediansAt) < medianInterval {
+		return
+	}
+	g.mediansAt = now
+	var engine, step, plain []float64
+	known := func(logs []float64, f *factor) []float64 {
+		if f.weightAt(now) < knownWeight {
+			return logs
+		}
+		return append(logs, f.log)
+	}
+	for u := range g.upstreams {
+		engine, step, plain = known(engine, &u.engine), known(step, &u.step), known(plain, &u.plain)
+	}
+	g.medians = medians{engine: median(engine, g.medians.engine), step: median(step, g.medians.step), plain: median(plain, g.medians.plain)}
+	g.engineMedianRatio = math.Exp(g.medians.engine)
+	for u := range g.upstreams {
+		u.refresh(now)
+	}
+}
+
+// median returns the median of logs, or old if there are none.
+func median(logs []float64, old float64) float64 {
+	if len(logs) == 0 {
+		return old
+	}
+	slices.Sort(logs)
+	return (logs[(len(logs)-1)/2] + logs[len(logs)/2]) / 2
+}
--- /dev/null
+++ b/internal/speed/upstream.go
@@ -0,0 +1,89 @@
+package speed
+
+import (
+	"math"
+	"time"
+)
+
+// Upstream is what is known of the speed of one start of an upstream. It is not safe for
+// concurrent use.
+type Upstream struct {
+	group *Group
+	// engine is the time of an engine's work relative to the start values, step that of an
+	// interval between events, and plain that of a plain service's work relative to the
+	// others of its group.
+	engine, step, plain factor
+	// engineRatio, stepRatio and plainRatio are the factors in use: drawn towards the
+	// median of the group as long as few responses are known. stepRatio is relative to
+	// the median, since a slower kind of engine is in engineRatio already.
+	engineRatio, stepRatio, plainRatio float64
+	observedAt                         time.Time
+	transient                          transient
+	pauses                             pauses
+}
+
+// priorWeight is the weight of the group's median against the upstream's own observations.
+const priorWeight = 2.0
+
+// drawn returns the factor, drawn towards the median of its group.
+func (f *factor) drawn(median float64, now time.Time) float64 {
+	w := f.weightAt(now)
+	return median + w/(w+priorWeight)*(f.log-median)
+}
+
+// refresh computes the factors in use.
+func (u *Upstream) refresh(now time.Time) {
+	m := &u.group.medians
+	u.engineRatio = math.Exp(u.engine.drawn(m.engine, now))
+	u.stepRatio = math.Exp(u.step.drawn(m.step, now) - m.step)
+	u.plainRatio = math.Exp(u.plain.drawn(m.plain, now) - m.plain)
+}
+
+// FirstToken estimates the time to first token of a request.
+func (u *Upstream) FirstToken(w Work, now time.Time) Estimate {
+	g := u.group
+	e := Estimate{Upstream: u.engineRatio, Model: w.Model, Transient: u.transient.factor(now), work: w}
+	pace := u.engineRatio * e.Transient
+	running := float64(w.Running) * g.runningRatio
+	e.Prompt = pace * w.Model * g.sizeRatios[sizeClass(w.Tokens)] * float64(w.Tokens) / PrefillTokensPerMS * (1 + running*prefillInterference)
+	e.Pending = pace * float64(w.PendingTokens) / PrefillTokensPerMS
+	e.Queue = pace * g.queueRatio * float64(w.Queued) * queuedRequestMS
+	e.Running = u.stepRatio * e.Transient * running * runningRequestMS
+	e.Fixed = pace * g.fixed.ms
+	return e
+}
+
+// Plain returns how long plain work takes here, relative to the other upstreams.
+func (u *Upstream) Plain(now time.Time) float64 { return u.plainRatio * u.transient.factor(now) }
+
+// TypicalPlain returns the typical time of plain work here, or 0 if it is unknown.
+func (u *Upstream) TypicalPlain() time.Duration {
+	return Milliseconds(u.plainRatio * u.group.plainMS)
+}
+
+// LongestPause returns the longest recent interval between two events of a stream.
+func (u *Upstream) LongestPause(now time.Time) time.Duration { return u.pauses.longest(now) }
+
+// StepMS returns the time in ms of an engine's step with one running request.
+func (u *Upstream) StepMS() float64 {
+	return u.stepRatio * math.Exp(u.group.medians.step) * (stepMS + stepPerRequestMS)
+}
+
+// Observations returns the weight of the observations of the time to first token.
+func (u *Upstream) Observations(now time.Time) float64 { return u.engine.weightAt(now) }
+
+// slowRatio is how much slower than the median an upstream is that gets no requests by its
+// estimates alone, unless the others are busy. retestInterval is how long ago its last
+// response must be before it is tried again.
+const (
+	slowRatio      = 1.5
+	retestInterval = 5 * time.Second
+)
+
+// RetestDue reports whether the upstream is known as slow and has not responded lately.
+func (u *Upstream) RetestDue(now time.Time) bool {
+	if now.Sub(u.observedAt) < retestInterval || u.observedAt.IsZero() {
+		return false
+	}
+	return u.engineRatio > slowRatio*u.group.engineMedianRatio || u.plainRatio > slowRatio
+}
--- a/internal/upstream/model_demand.go
+++ b/internal/upstream/model_demand.go
@@ -58,7 +58,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	prefillMS := float64(q.TokensIn) / prefillTokensPerMS
+	prefillMS := p.speedGroup(q.Service).PrefillMS(q.Model, q.TokensIn)
 	p.demandFor(q.Model).add(prefillMS, now)
 	if q.Adapter != "" {
 		p.demandFor(q.Name()).add(prefillMS, now)
--- a/internal/upstream/overload.go
+++ b/internal/upstream/overload.go
@@ -24,8 +24,7 @@
 	if q.Objective <= 0 || q.ResponseStarted {
 		return false, 0
 	}
-	promptTime := time.Duration(float64(best.uncachedTokens) / prefillTokensPerMS * float64(time.Millisecond))
 	limit := time.Duration(maxWaitFactors[min(max(0, q.Urgency), len(maxWaitFactors)-1)] * float64(q.Objective))
-	wait := best.delay - best.failurePenalty - promptTime
+	wait := best.delay - best.failurePenalty - best.promptTime
 	return wait > limit, wait
 }
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -7,6 +7,7 @@
 
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 	"github.com/jacinthbend/jacinthbend/internal/rendezvous"
+	"github.com/jacinthbend/jacinthbend/internal/speed"
 )
 
 // candidate is a usable upstream with the values by which Pick compares it.
@@ -18,6 +19,13 @@
 	delay          time.Duration
 	// failurePenalty is the part of delay that stands for failed attempts.
 	failurePenalty time.Duration
+	// promptTime is the part of delay in which the request's own prompt is read, and
+	// estimate the whole part that depends on the engine.
+	promptTime time.Duration
+	estimate   speed.Estimate
+	// pausePenalty ranks down an engine whose streams pause for longer than the
+	// request's may; it is no part of delay.
+	pausePenalty time.Duration
 	// needsPermit means that the agent must admit the request: to a cold engine if cold is
 	// set, and to one that names a rate limit if rateLimit is not 0.
 	needsPermit bool
@@ -45,8 +53,10 @@
 	if len(candidates) == 0 {
 		return nil, noCandidate(wait)
 	}
-	best := slices.MinFunc(candidates, compareDelay)
-	return best.choice(), Unavailable{}
+	best := p.retest(q, candidates, slices.MinFunc(candidates, compareDelay), now)
+	choice := best.choice()
+	choice.TypicalWork = best.state.speed.TypicalPlain()
+	return choice, Unavailable{}
 }
 
 // noCandidate tells why no upstream is usable; wait is when one may be used, or 0.
@@ -60,6 +70,7 @@
 // candidates returns those of states that may take q now. wait is the shortest time until
 // a cold one may, or 0.
 func (p *Pool) candidates(q *Query, states map[*state]struct{}, hashes []uint64, now time.Time) (out []candidate, wait time.Duration) {
+	model := p.modelSpeed(q)
 	for s := range states {
 		if q.Tried[s.upstream.ID] || !p.usableFor(q, s, now) {
 			continue
@@ -69,7 +80,7 @@
 			wait = shorterWait(wait, w)
 			continue
 		}
-		c := p.candidate(s, q, hashes, now)
+		c := p.candidate(s, q, hashes, model, now)
 		c.needsPermit, c.rateLimit = needsPermit, s.rateLimit(now)
 		if needsPermit {
 			_, c.cold = p.coldWait(s, now)
@@ -87,18 +98,21 @@
 	return a
 }
 
-func (p *Pool) candidate(s *state, q *Query, hashes []uint64, now time.Time) candidate {
+func (p *Pool) candidate(s *state, q *Query, hashes []uint64, model float64, now time.Time) candidate {
 	c := candidate{state: s, rank: rendezvous.Rank(q.Model, s.upstream.ID)}
 	l := s.loadSnapshot(now, p.dataCentre)
-	c.failurePenalty = time.Duration(l.failureRate * failurePenaltyMS * float64(time.Millisecond))
+	c.failurePenalty = speed.Milliseconds(l.failureRate * failurePenaltyMS)
 	if q.Model == "" {
-		c.delay = plainDelay(l, s.upstream.Capacity)
+		c.delay = plainDelay(l, s.upstream.Capacity, s.speed.Plain(now))
 		return c
 	}
 	h := s.holdings(now)
 	c.hasModel, c.hasAdapter = h.HasModel(q.Model), h.HasAdapter(q.Model, q.Adapter)
 	c.uncachedTokens = max(0, q.TokensIn-s.prefixes.cachedTokens(hashes, q.Prompt))
-	c.delay = engineDelay(l, c.uncachedTokens)
+	c.estimate = s.speed.FirstToken(l.work(c.uncachedTokens, model), now)
+	c.promptTime = speed.Milliseconds(c.estimate.Prompt)
+	c.delay = c.estimate.Total() + l.extraDelay()
+	c.pausePenalty = pausePenalty(q, s, now)
 	if c.hasModel && !c.hasAdapter {
 		// An engine takes no adapter order while it loads a model.
 		c.delay += adapterLoadTime + s.remainingLoadTime(now)
@@ -107,7 +121,7 @@
 }
 
 func compareDelay(a, b candidate) int {
-	return cmp.Or(cmp.Compare(a.delay, b.delay), cmp.Compare(a.rank, b.rank))
+	return cmp.Or(cmp.Compare(a.delay+a.pausePenalty, b.delay+b.pausePenalty), cmp.Compare(a.rank, b.rank))
 }
 
 // Parameters of additional copies of a model.
@@ -234,8 +248,9 @@
 
 // pickLoaded chooses among the engines that have the model loaded.
 func (p *Pool) pickLoaded(q *Query, withModel []candidate, now time.Time) (*Choice, Unavailable) {
-	best := slices.MinFunc(withModel, compareDelay)
+	best := p.retest(q, withModel, slices.MinFunc(withModel, compareDelay), now)
 	choice := best.choice()
+	choice.LongestPause = best.state.speed.LongestPause(now)
 	if choice.NeedsLoad = !best.hasAdapter; choice.NeedsLoad {
 		choice.LoadTime = adapterLoadTime + best.state.remainingLoadTime(now)
 	}
@@ -358,5 +373,5 @@
 }
 
 func (c *candidate) choice() *Choice {
-	return &Choice{NeedsPermit: c.needsPermit, Cold: c.cold, RateLimit: c.rateLimit, Upstream: c.state.upstream, AgentAddr: c.state.agentAddr, Delay: c.delay, UncachedTokens: c.uncachedTokens}
+	return &Choice{NeedsPermit: c.needsPermit, Cold: c.cold, RateLimit: c.rateLimit, Upstream: c.state.upstream, AgentAddr: c.state.agentAddr, Delay: c.delay, UncachedTokens: c.uncachedTokens, Estimate: c.estimate}
 }
--- a/internal/upstream/pick_bench_test.go
+++ b/internal/upstream/pick_bench_test.go
@@ -33,7 +33,7 @@
 // BenchmarkPick measures one choice among n engines by parallel callers.
 func BenchmarkPick(b *testing.B) {
 	prompt := []fleet.PromptPart{{ID: "a1", Tokens: 800}, {ID: "b2", Tokens: 5500}, {ID: "c3", Tokens: 2890}}
-	for _, n := range []int{9, 180, 5600} {
+	for _, n := range []int{9, 50, 180, 5600} {
 		for _, callers := range []int{1, 64} {
 			b.Run(fmt.Sprintf("upstreams=%d/callers=%d", n, callers), func(b *testing.B) {
 				p := benchPool(n)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,6 +7,7 @@
 
 	"github.com/jacinthbend/jacinthbend/internal/agentapi"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
+	"github.com/jacinthbend/jacinthbend/internal/speed"
 )
 
 // Bounds are the limits on the requests of all instances to cold upstreams.
@@ -43,6 +44,10 @@
 	// answers are by address which upstream has answered there instead of the newest one.
 	answers map[string]answer
 	demands map[string]*modelDemand
+	// speeds are by service.
+	speeds map[string]*speed.Group
+	// retests is how many requests may go to an upstream to learn whether it is still slow.
+	retests float64
 	// storeLimits are by service.
 	storeLimits map[string]*storeLimit
 	// lastAvailable is when a model was last found outside the weight store, by
@@ -62,7 +67,7 @@
 // NewPool returns the pool of the entry instance called self, without
 // upstreams.
 func NewPool(self, dataCentre string, b Bounds) *Pool {
-	return &Pool{index: newModelIndex(), self: self, bounds: b, dataCentre: dataCentre, states: make(map[string]*state), answers: make(map[string]answer), demands: make(map[string]*modelDemand), storeLimits: make(map[string]*storeLimit), lastAvailable: make(map[string]time.Time), loadProgress: make(map[copyKey]chan struct{})}
+	return &Pool{index: newModelIndex(), self: self, bounds: b, dataCentre: dataCentre, states: make(map[string]*state), answers: make(map[string]answer), demands: make(map[string]*modelDemand), speeds: make(map[string]*speed.Group), storeLimits: make(map[string]*storeLimit), lastAvailable: make(map[string]time.Time), loadProgress: make(map[copyKey]chan struct{})}
 }
 
 // Update applies a new view.
@@ -75,15 +80,19 @@
 	for id, u := range v.Upstreams {
 		s, ok := p.states[id]
 		if !ok {
-			s = newState(u)
+			s = p.newState(u, now)
 			p.states[id] = s
 		}
 		if ok && s.upstream.StartedAtMS != u.StartedAtMS {
 			p.index.remove(s)
+			p.speedGroup(s.upstream.Service).Remove(s.speed)
 			// The attempts at the instance before the restart stay with its state.
-			s = newState(u)
+			s = p.newState(u, now)
 			p.states[id] = s
 		}
+		if s.upstream.Version != u.Version {
+			p.speedGroup(u.Service).Reset(s.speed, now)
+		}
 		if u.ColdLeftMS > 0 && (!ok || s.upstream != u) {
 			s.coldUntil = now.Add(time.Duration(u.ColdLeftMS) * time.Millisecond)
 		}
@@ -100,6 +109,7 @@
 	for id, s := range p.states {
 		if _, ok := v.Upstreams[id]; !ok && s.inFlight == 0 && !s.said.inForce(now) {
 			p.index.remove(s)
+			p.speedGroup(s.upstream.Service).Remove(s.speed)
 			delete(p.states, id)
 		}
 	}
--- a/internal/upstream/query.go
+++ b/internal/upstream/query.go
@@ -15,6 +15,11 @@
 	// Objective is the route's latency objective. Here it applies to the time to
 	// first token.
 	Objective time.Duration
+	// EventInterval is the longest interval between events of a stream that counts as on
+	// time; 0 is unknown.
+	EventInterval time.Duration
+	// Repeatable tells that the request may run more than once.
+	Repeatable bool
 	// Urgency is the priority of the request; 0 is the most urgent.
 	Urgency int
 	// VersionBound tells that only upstreams with the software version Version may be chosen,
--- a/internal/upstream/rate_limit.go
+++ b/internal/upstream/rate_limit.go
@@ -88,7 +88,7 @@
 	if best == nil {
 		return nil
 	}
-	c := p.candidate(best, q, hashes, now)
+	c := p.candidate(best, q, hashes, p.modelSpeed(q), now)
 	c.needsPermit, c.rateLimit = true, best.rateLimit(now)
 	return c.choice()
 }
--- a/internal/upstream/score.go
+++ b/internal/upstream/score.go
@@ -1,23 +1,13 @@
 package upstream
 
-import "time"
+import (
+	"time"
 
-// Parameters of the estimated time to first token. Only their ratios matter for
-// the choice.
+	"github.com/jacinthbend/jacinthbend/internal/speed"
+)
+
+// Parts of the estimated delay that do not depend on the speed of an upstream.
 const (
-	// prefillTokensPerMS is the speed at which an engine reads a prompt.
-	// Engines in use read 38 to 44 tokens per ms.
-	prefillTokensPerMS = 40.0
-	// queuedRequestMS is added for each request in the engine's queue. The
-	// longest class of prompts takes 240 ms if nothing is cached.
-	queuedRequestMS = 120.0
-	// runningRequestMS is the time that each running request adds to a step of
-	// the engine.
-	runningRequestMS = 1.5
-	// prefillInterference is the fraction of the time to read a prompt that is
-	// added for each running request, since reading it delays that request's
-	// tokens.
-	prefillInterference = 0.05
 	// crossDataCentreMS is added for an upstream in another data centre; it
 	// includes the cost of the traffic.
 	crossDataCentreMS = 4.0
@@ -41,29 +31,37 @@
 	remote                    bool
 }
 
-// engineDelay estimates the time to first token of a prompt with the given
-// number of uncached tokens.
+// runningNow returns how many requests run at the upstream.
 //
 // The requests that this instance sent count at once, those of other instances
 // only with the next report. Otherwise, in a burst, all requests would go to the
 // upstream whose last report has the shortest queue.
-func engineDelay(l loadSnapshot, uncached int) time.Duration {
-	ms := float64(l.pendingTokens+uncached)/prefillTokensPerMS + float64(l.queued)*queuedRequestMS +
-		float64(max(l.running, l.inFlight))*(runningRequestMS+prefillInterference*float64(uncached)/prefillTokensPerMS) + l.failureRate*failurePenaltyMS
+func (l loadSnapshot) runningNow() int { return max(l.running, l.inFlight) }
+
+// work describes a prompt with the given number of uncached tokens to an engine's speed.
+func (l loadSnapshot) work(uncached int, model float64) speed.Work {
+	return speed.Work{Tokens: uncached, PendingTokens: l.pendingTokens, Running: l.runningNow(), Queued: l.queued, Model: model}
+}
+
+// extraDelay is what is added to the time of the work itself.
+func (l loadSnapshot) extraDelay() time.Duration {
+	ms := l.failureRate * failurePenaltyMS
 	if l.remote {
 		ms += crossDataCentreMS
 	}
-	return time.Duration(ms * float64(time.Millisecond))
+	return speed.Milliseconds(ms)
 }
 
 // plainDelay ranks an upstream without models by its load relative to its
-// capacity.
-func plainDelay(l loadSnapshot, capacity int) time.Duration {
-	const fullLoadMS = 50.0
-	utilization := float64(max(l.running, l.inFlight)+l.queued) / float64(max(1, capacity))
-	ms := utilization*fullLoadMS + l.failureRate*failurePenaltyMS
-	if l.remote {
-		ms += crossDataCentreMS
-	}
-	return time.Duration(ms * float64(time.Millisecond))
+// capacity and by pace, how long its work takes relative to others. With a pace of 1 it
+// depends on the load only.
+func plainDelay(l loadSnapshot, capacity int, pace float64) time.Duration {
+	const (
+		fullLoadMS = 50.0
+		// ownLoadMS lets the faster one of two idle upstreams come first. It is the load of
+		// one request at an upstream with 16 slots.
+		ownLoadMS = fullLoadMS / 16
+	)
+	utilization := float64(l.runningNow()+l.queued) / float64(max(1, capacity))
+	return speed.Milliseconds(utilization*fullLoadMS*pace+ownLoadMS*(pace-1)) + l.extraDelay()
 }
--- a/internal/upstream/state.go
+++ b/internal/upstream/state.go
@@ -7,6 +7,7 @@
 	"github.com/jacinthbend/jacinthbend/internal/agentapi"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 	"github.com/jacinthbend/jacinthbend/internal/slidingwindow"
+	"github.com/jacinthbend/jacinthbend/internal/speed"
 )
 
 // maxAgentStateAge is how long an agent's report takes precedence over the
@@ -28,6 +29,7 @@
 	// lastSent is when this instance last sent a request to the upstream.
 	lastSent time.Time
 	prefixes prefixCache
+	speed    *speed.Upstream
 
 	inFlight      int
 	pendingTokens int
@@ -51,6 +53,8 @@
 	// headerRunning and headerQueued are from the headers of the last response.
 	headerRunning, headerQueued int
 	headerAt                    time.Time
+	// loadInvalid tells that a response stated a load that could not be decoded.
+	loadInvalid bool
 	// headerLimit is the rate limit that the upstream named in its last response, 0 if
 	// none, as of headerLimitAt.
 	headerLimit   float64
@@ -69,8 +73,8 @@
 	sent int
 }
 
-func newState(u *fleet.Upstream) *state {
-	return &state{upstream: u, sends: slidingwindow.Counter{Length: coldWindowLength}, prefixes: newPrefixCache(), usageByName: make(map[string]*usage)}
+func newState(u *fleet.Upstream, s *speed.Upstream) *state {
+	return &state{upstream: u, speed: s, sends: slidingwindow.Counter{Length: coldWindowLength}, prefixes: newPrefixCache(), usageByName: make(map[string]*usage)}
 }
 
 func (s *state) usage(name string) *usage {
--- a/internal/upstream/ticket.go
+++ b/internal/upstream/ticket.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
+	"github.com/jacinthbend/jacinthbend/internal/speed"
 )
 
 // Ticket tracks one attempt at an upstream from Begin to End.
@@ -14,6 +15,15 @@
 	pendingTokens int
 	hashes        []uint64
 	ended         bool
+
+	// sentAt is when the attempt began, model its model, and estimate that of its first
+	// token as of then.
+	sentAt   time.Time
+	model    string
+	estimate speed.Estimate
+	// learns tells that the time to the header says something of the upstream's speed.
+	learns bool
+	events eventTimes
 }
 
 // Begin starts an attempt; the caller must call End on the ticket. It returns
@@ -36,10 +46,10 @@
 		// If it has turned cold since Pick, the next Pick asks for a permit.
 		return nil, Unavailable{Reason: "the upstream is at its rate limit", RetryAfter: wait}
 	}
+	t := p.newTicket(s, c, q, now)
 	s.sends.Add(now)
 	s.lastSent = now
 	s.inFlight++
-	t := &Ticket{pool: p, state: s, name: q.Name(), pendingTokens: c.UncachedTokens}
 	s.pendingTokens += t.pendingTokens
 	if q.Model != "" {
 		u := s.usage(t.name)
@@ -60,6 +70,7 @@
 	t.state.lastContact = time.Now()
 	if a.HasLoad {
 		t.state.headerRunning, t.state.headerQueued, t.state.headerAt = a.Running, a.Waiting, time.Now()
+		t.state.speed.ObserveWorkTime(a.WorkTime, time.Now())
 	}
 	limitBefore = t.state.rateLimit(time.Now())
 	if a.Instance == "" || a.Instance == t.state.upstream.ID {
@@ -89,6 +100,8 @@
 	}
 	t.ended = true
 	t.promptRead()
+	t.learnEvents(time.Now())
+	t.learnUnanswered(o, time.Now())
 	t.state.inFlight--
 	if u, ok := t.state.usageByName[t.name]; ok {
 		u.inFlight--
