--- a/internal/gateway/stall_detector_test.go
+++ b/internal/gateway/stall_detector_test.go
@@ -46,3 +46,17 @@
 		})
 	}
 }
+
+// TestSlowUpstreamBounds guards against cutting an attempt at an upstream that is sound but
+// slow, and against waiting for one that was frozen lately for as long again.
+func TestSlowUpstreamBounds(t *testing.T) {
+	check := is.New(t)
+	route := &fleet.Route{Objective: 300 * time.Millisecond}
+	check.Equal(attemptEventGap(route, 0, 0), minEventGap)
+	check.Equal(attemptEventGap(route, 700*time.Millisecond, 0), minEventGap)
+	check.Equal(attemptEventGap(route, 1200*time.Millisecond, 0), 3*time.Second)
+	check.Equal(attemptEventGap(route, 0, time.Minute), maxGapFactor*minEventGap)
+	check.Equal(responseTimeout(2*time.Second, 0), time.Second)
+	check.Equal(responseTimeout(2*time.Second, 600*time.Millisecond), 1500*time.Millisecond)
+	check.Equal(responseTimeout(2*time.Second, time.Second), 2*time.Second)
+}
--- a/internal/upstream/speed_replay_test.go
+++ b/internal/upstream/speed_replay_test.go
@@ -171,3 +171,14 @@
 		check.True(proportion > 0.75 && proportion < 1.25)
 	})
 }
+
+// TestSpeedReplayInstances guards against estimates that hold only while one instance sends
+// all requests. It fails (KNOWN-RED.txt): the instances do not know each other's prompts.
+func TestSpeedReplayInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newSpeedReplay(4)
+		w.play(40)
+		t.Logf("%d requests, %.2f within 1.5", len(w.ratios), w.within(1.5))
+		is.New(t).True(w.within(1.5) >= 0.8)
+	})
+}
