Lengthen the response timeout of slow plain upstreams only where another attempt would not fit

Cause: 2.5 times the typical time left no time for another attempt where half of the remaining time would have done. Change: 1.5 times the typical time. Upstreams are reset and removed through their own group.

--- a/internal/gateway/stall_detector.go
+++ b/internal/gateway/stall_detector.go
@@ -23,8 +23,8 @@
 	// responseTimeoutShare is the share of the remaining time within which an
 	// idempotent request without a model must receive the response header, and then
 	// each further minProgressBytes, unless it is the last attempt. Processing takes
-	// a tenth of the timeout. An upstream that usually takes longer gets slowWorkFactor
-	// times its usual time.
+	// a tenth of the timeout. An upstream that usually takes long gets
+	// typicalWorkFactor times its usual time.
 	responseTimeoutShare = 0.5
 	// minProgressBytes is what a body must grow by to count as progress, so that an
 	// upstream that sends a byte now and then is not waited for until the deadline.
@@ -49,6 +49,10 @@
 	// slowWorkFactor is how many times its usual time a sound upstream may take: other
 	// work slows machines down by up to 2.5.
 	slowWorkFactor = 2.5
+	// typicalWorkFactor is the same for responseTimeout. It is smaller, since a longer wait
+	// leaves no time for another attempt: with 1.5, that is so only if the usual time is
+	// above 0.4 of the remaining time.
+	typicalWorkFactor = 1.5
 	// maxGapFactor bounds attemptEventGap by multiples of maxEventGap, so that an upstream
 	// that was frozen lately is not waited for that long again.
 	maxGapFactor = 2
@@ -57,7 +61,7 @@
 // responseTimeout is how long an attempt may take to its response header if the upstream
 // usually takes the time typical, 0 if unknown.
 func responseTimeout(remaining, typical time.Duration) time.Duration {
-	slow := time.Duration(slowWorkFactor * float64(typical))
+	slow := time.Duration(typicalWorkFactor * float64(typical))
 	return max(time.Duration(responseTimeoutShare*float64(remaining)), min(remaining, slow))
 }
 
--- a/internal/gateway/stall_detector_test.go
+++ b/internal/gateway/stall_detector_test.go
@@ -57,6 +57,7 @@
 	check.Equal(attemptEventGap(route, 1200*time.Millisecond, 0), 3*time.Second)
 	check.Equal(attemptEventGap(route, 0, time.Minute), maxGapFactor*minEventGap)
 	check.Equal(responseTimeout(2*time.Second, 0), time.Second)
-	check.Equal(responseTimeout(2*time.Second, 600*time.Millisecond), 1500*time.Millisecond)
-	check.Equal(responseTimeout(2*time.Second, time.Second), 2*time.Second)
+	check.Equal(responseTimeout(2*time.Second, 600*time.Millisecond), time.Second) // leaves time for another attempt
+	check.Equal(responseTimeout(2*time.Second, 800*time.Millisecond), 1200*time.Millisecond)
+	check.Equal(responseTimeout(2*time.Second, 1900*time.Millisecond), 2*time.Second)
 }
--- a/internal/speed/group.go
+++ b/internal/speed/group.go
@@ -52,17 +52,9 @@
 
 // Add adds an upstream of which nothing is known.
 func (g *Group) Add(u *Upstream, now time.Time) {
-	g.Reset(u, now)
-	g.upstreams[u] = struct{}{}
-}
-
-// Remove removes an upstream.
-func (g *Group) Remove(u *Upstream) { delete(g.upstreams, u) }
-
-// Reset forgets what is known of an upstream, for example if its software has changed.
-func (g *Group) Reset(u *Upstream, now time.Time) {
 	*u = Upstream{group: g}
 	u.refresh(now)
+	g.upstreams[u] = struct{}{}
 }
 
 // Model returns the time of a model's work relative to the others.
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -73,7 +73,7 @@
 	at := observe(us[0], 500, 1e6, start)
 	check.True(us[0].engineRatio <= maxFactor && g.Model("m") <= maxFactor)
 	check.True(us[0].engineRatio > 2 && us[1].engineRatio > 2) // the other one starts at the median
-	g.Reset(us[0], at)
+	us[0].Reset(at)
 	check.Equal(us[0].Observations(at), 0.0)
 	us[1].ObserveWorkTime(1e-9, at)
 	check.True(us[1].transient.factor(at) > 1-transientWeight)
--- a/internal/speed/upstream.go
+++ b/internal/speed/upstream.go
@@ -24,6 +24,12 @@
 	observedAt          time.Time
 }
 
+// Remove removes the upstream from its group.
+func (u *Upstream) Remove() { delete(u.group.upstreams, u) }
+
+// Reset forgets what is known of the upstream, for example if its software has changed.
+func (u *Upstream) Reset(now time.Time) { u.group.Add(u, now) }
+
 // priorWeight is the weight of the group's median against the upstream's own observations.
 const priorWeight = 2.0
 
--- a/internal/upstream/learn_speed_test.go
+++ b/internal/upstream/learn_speed_test.go
@@ -11,6 +11,13 @@
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 )
 
+// twoEngines returns a pool of two engines that have model m.
+func twoEngines() (*fleet.View, *Pool) {
+	v := testView(2, 1)
+	v.Upstreams["i-1"].Holdings = &fleet.Holdings{Adapters: map[string][]string{"m": nil}}
+	return v, newPool(v)
+}
+
 // learn lets an attempt at the only engine with the model end after took.
 func learn(p *Pool, took time.Duration, status int, a fleet.ResponseAttributes) (firstInvalidLoad bool) {
 	q := engineQuery("m", "")
@@ -73,9 +80,7 @@
 func TestRetest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		check := is.New(t)
-		v := testView(2, 1)
-		v.Upstreams["i-1"].Holdings = &fleet.Holdings{Adapters: map[string][]string{"m": nil}}
-		p := newPool(v)
+		v, p := twoEngines()
 		slow := &p.states["i-1"].speed
 		q := engineQuery("m", "")
 		q.Streams, q.Objective = true, 0
@@ -109,9 +114,7 @@
 func TestPausePenalty(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		check := is.New(t)
-		v := testView(2, 1)
-		v.Upstreams["i-1"].Holdings = &fleet.Holdings{Adapters: map[string][]string{"m": nil}}
-		p := newPool(v)
+		_, p := twoEngines()
 		q := engineQuery("m", "")
 		c, _ := p.Pick(q)
 		ticket, _ := p.Begin(c, q)
@@ -134,9 +137,7 @@
 func TestSuspectedUpstream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		check := is.New(t)
-		v := testView(2, 1)
-		v.Upstreams["i-1"].Holdings = &fleet.Holdings{Adapters: map[string][]string{"m": nil}}
-		p := newPool(v)
+		_, p := twoEngines()
 		q := engineQuery("m", "")
 		best, _ := p.Pick(q)
 		for range suspectFailures {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -85,13 +85,13 @@
 		}
 		if ok && s.upstream.StartedAtMS != u.StartedAtMS {
 			p.index.remove(s)
-			p.speedGroup(s.upstream.Service).Remove(&s.speed)
+			s.speed.Remove()
 			// The attempts at the instance before the restart stay with its state.
 			s = p.newState(u, now)
 			p.states[id] = s
 		}
 		if s.upstream.Version != u.Version {
-			p.speedGroup(u.Service).Reset(&s.speed, now)
+			s.speed.Reset(now)
 		}
 		if u.ColdLeftMS > 0 && (!ok || s.upstream != u) {
 			s.coldUntil = now.Add(time.Duration(u.ColdLeftMS) * time.Millisecond)
@@ -109,7 +109,7 @@
 	for id, s := range p.states {
 		if _, ok := v.Upstreams[id]; !ok && s.inFlight == 0 && !s.said.inForce(now) {
 			p.index.remove(s)
-			p.speedGroup(s.upstream.Service).Remove(&s.speed)
+			s.speed.Remove()
 			delete(p.states, id)
 		}
 	}
