--- a/internal/upstream/overload.go
+++ b/internal/upstream/overload.go
@@ -20,12 +20,11 @@
 // refused for past failures, nothing would notice that it has recovered. The
 // time to read the request's own prompt is left out so that long prompts are
 // not refused sooner than short ones.
-func overloaded(q *Query, best candidate) (bool, time.Duration) {
+func overloaded(q *Query, best *candidate) (bool, time.Duration) {
 	if q.Objective <= 0 || q.ResponseStarted {
 		return false, 0
 	}
-	promptTime := time.Duration(float64(best.uncachedTokens) / prefillTokensPerMS * float64(time.Millisecond))
 	limit := time.Duration(maxWaitFactors[min(max(0, q.Urgency), len(maxWaitFactors)-1)] * float64(q.Objective))
-	wait := best.delay - best.failurePenalty - promptTime
+	wait := best.delay - best.failurePenalty - best.promptTime
 	return wait > limit, wait
 }
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -7,6 +7,7 @@
 
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 	"github.com/jacinthbend/jacinthbend/internal/rendezvous"
+	"github.com/jacinthbend/jacinthbend/internal/speed"
 )
 
 // candidate is a usable upstream with the values by which Pick compares it.
@@ -18,13 +19,19 @@
 	delay          time.Duration
 	// failurePenalty is the part of delay that stands for failed attempts.
 	failurePenalty time.Duration
+	// promptTime is the part of delay in which the request's own prompt is read.
+	promptTime time.Duration
+	// rankShift is what is added to delay to compare candidates.
+	rankShift time.Duration
 	// needsPermit means that the agent must admit the request: to a cold engine if cold is
 	// set, and to one that names a rate limit if rateLimit is not 0.
 	needsPermit bool
 	cold        bool
 	rateLimit   float64
-	// rank is the rendezvous rank of the upstream for the model; it breaks ties.
-	rank uint64
+	// rank is the rendezvous rank of the upstream for the model, once it is needed; it breaks
+	// ties.
+	rank   uint64
+	ranked bool
 }
 
 // Pick chooses an upstream for q.
@@ -48,7 +55,7 @@
 	if len(candidates) == 0 {
 		return nil, noCandidate(wait)
 	}
-	best := slices.MinFunc(candidates, compareDelay)
+	best := p.retest(q, candidates, fastest(candidates, q.Model), now)
 	return best.choice(), Unavailable{}
 }
 
@@ -63,6 +70,8 @@
 // candidates returns those of states that may take q now. wait is the shortest time until
 // a cold one may, or 0.
 func (p *Pool) candidates(q *Query, states map[*state]struct{}, hashes []uint64, now time.Time) (out []candidate, wait time.Duration) {
+	model := p.modelSpeed(q)
+	out = make([]candidate, 0, len(states))
 	for s := range states {
 		if q.Tried[s.upstream.ID] || !p.usableFor(q, s, now) {
 			continue
@@ -72,7 +81,7 @@
 			wait = shorterWait(wait, w)
 			continue
 		}
-		c := p.candidate(s, q, hashes, now)
+		c := p.candidate(s, q, hashes, model, now)
 		c.needsPermit, c.rateLimit = needsPermit, s.rateLimit(now)
 		if needsPermit {
 			_, c.cold = p.coldWait(s, now)
@@ -90,18 +99,24 @@
 	return a
 }
 
-func (p *Pool) candidate(s *state, q *Query, hashes []uint64, now time.Time) candidate {
-	c := candidate{state: s, rank: rendezvous.Rank(q.Model, s.upstream.ID)}
+func (p *Pool) candidate(s *state, q *Query, hashes []uint64, model float64, now time.Time) candidate {
+	c := candidate{state: s}
 	l := s.loadSnapshot(now, p.dataCentre)
-	c.failurePenalty = time.Duration(l.failureRate * failurePenaltyMS * float64(time.Millisecond))
+	c.failurePenalty = speed.Milliseconds(l.failureRate * failurePenaltyMS)
+	if !q.Repeatable && s.health.suspected(now) {
+		c.rankShift = suspectPenalty
+	}
 	if q.Model == "" {
-		c.delay = plainDelay(l, s.upstream.Capacity)
+		c.delay = plainDelay(l, s.upstream.Capacity, s.speed.Plain(now))
 		return c
 	}
 	h := s.holdings(now)
 	c.hasModel, c.hasAdapter = h.HasModel(q.Model), h.HasAdapter(q.Model, q.Adapter)
 	c.uncachedTokens = max(0, q.TokensIn-s.prefixes.cachedTokens(hashes, q.Prompt))
-	c.delay = engineDelay(l, c.uncachedTokens)
+	e := s.speed.FirstToken(l.work(c.uncachedTokens, model), now)
+	c.promptTime = speed.Milliseconds(e.Prompt)
+	c.delay = e.Total() + l.extraDelay()
+	c.rankShift += speed.Milliseconds(s.speed.Rank(e.TotalMS())-e.TotalMS()) + pausePenalty(q, s, now)
 	if c.hasModel && !c.hasAdapter {
 		// An engine takes no adapter order while it loads a model.
 		c.delay += adapterLoadTime + s.remainingLoadTime(now)
@@ -109,8 +124,25 @@
 	return c
 }
 
-func compareDelay(a, b candidate) int {
-	return cmp.Or(cmp.Compare(a.delay, b.delay), cmp.Compare(a.rank, b.rank))
+// rankFor returns the rendezvous rank of the upstream for a model.
+func (c *candidate) rankFor(model string) uint64 {
+	if !c.ranked {
+		c.rank, c.ranked = rendezvous.Rank(model, c.state.upstream.ID), true
+	}
+	return c.rank
+}
+
+// fastest returns the candidate that comes first by its delay and rankShift.
+func fastest(candidates []candidate, model string) *candidate {
+	best := &candidates[0]
+	for i := range candidates[1:] {
+		c := &candidates[1+i]
+		d := cmp.Compare(c.delay+c.rankShift, best.delay+best.rankShift)
+		if d < 0 || d == 0 && c.rankFor(model) < best.rankFor(model) {
+			best = c
+		}
+	}
+	return best
 }
 
 // Parameters of additional copies of a model.
@@ -131,7 +163,7 @@
 // chooseReplica returns an engine on which to load another copy of the model,
 // or nil if none is needed or possible. It estimates the total demand as that
 // of this instance times the number of entry instances.
-func (p *Pool) chooseReplica(q *Query, best candidate, copies int, now time.Time) *Choice {
+func (p *Pool) chooseReplica(q *Query, best *candidate, copies int, now time.Time) *Choice {
 	demand := p.demandFor(q.Model)
 	if now.Sub(demand.replicaRequestedAt) < replicaInterval {
 		return nil
@@ -237,7 +269,7 @@
 
 // pickLoaded chooses among the engines that have the model loaded.
 func (p *Pool) pickLoaded(q *Query, withModel []candidate, now time.Time) (*Choice, Unavailable) {
-	best := slices.MinFunc(withModel, compareDelay)
+	best := p.retest(q, withModel, fastest(withModel, q.Model), now)
 	choice := best.choice()
 	if choice.NeedsLoad = !best.hasAdapter; choice.NeedsLoad {
 		choice.LoadTime = adapterLoadTime + best.state.remainingLoadTime(now)
@@ -299,7 +331,7 @@
 	var bestTime time.Duration
 	for i := range candidates {
 		t := loadTime(candidates[i].state, service.Engine, model, now)
-		if best == nil || t < bestTime || t == bestTime && candidates[i].rank < best.rank {
+		if best == nil || t < bestTime || t == bestTime && candidates[i].rankFor(q.Model) < best.rankFor(q.Model) {
 			best, bestTime = &candidates[i], t
 		}
 	}
--- a/internal/upstream/pick_bench_test.go
+++ b/internal/upstream/pick_bench_test.go
@@ -33,7 +33,7 @@
 // BenchmarkPick measures one choice among n engines by parallel callers.
 func BenchmarkPick(b *testing.B) {
 	prompt := []fleet.PromptPart{{ID: "a1", Tokens: 800}, {ID: "b2", Tokens: 5500}, {ID: "c3", Tokens: 2890}}
-	for _, n := range []int{9, 180, 5600} {
+	for _, n := range []int{9, 50, 180, 5600} {
 		for _, callers := range []int{1, 64} {
 			b.Run(fmt.Sprintf("upstreams=%d/callers=%d", n, callers), func(b *testing.B) {
 				p := benchPool(n)
@@ -53,3 +53,23 @@
 		}
 	}
 }
+
+// BenchmarkPickPlain measures one choice among n upstreams without models.
+func BenchmarkPickPlain(b *testing.B) {
+	for _, n := range []int{9, 50, 180, 5600} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			v := testView(n, max(1, n/2))
+			for _, u := range v.Upstreams {
+				u.Service, u.Holdings = "p", nil
+			}
+			p := newPool(v)
+			q := &Query{Service: "p", Tried: make(map[string]bool)}
+			b.ResetTimer()
+			for b.Loop() {
+				if c, _ := p.Pick(q); c == nil {
+					b.Fatal("no upstream")
+				}
+			}
+		})
+	}
+}
