Restore quota usage from witnesses after a restart

Cause: only checkpoints in the store record what an entry instance spent, so a start counts 0.6 to 1 of each share as spent, and teams within their rates are refused for one window.

Change: an instance reports its spending to three agents. While a report is confirmed it gives out at most one step beyond it for 3 s, and a start that finds the report counts its amounts and one step. A start gives out nothing of its shares before its own first report is confirmed, or no report of an earlier start can be used any more.

--- a/internal/managed/agent.go
+++ b/internal/managed/agent.go
@@ -13,6 +13,7 @@
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 	"github.com/jacinthbend/jacinthbend/internal/peer"
 	"github.com/jacinthbend/jacinthbend/internal/topicwatch"
+	"github.com/jacinthbend/jacinthbend/internal/witness"
 	"github.com/jacinthbend/jacinthbend/platform"
 )
 
@@ -51,7 +52,11 @@
 		return err
 	}
 	agent.Register(peers.Engine)
-	operators, err := newOperatorServer(s.OperatorAddr(), metrics.NewSet(), func() (bool, string) { return true, "" })
+	records := witness.NewTable(s.Instance, s.QuotaWindow(), witness.BootTime)
+	records.Register(peers.Engine)
+	set := metrics.NewSet()
+	set.NewGauge("jacinthbend_witness_records", func() float64 { return float64(records.Len()) })
+	operators, err := newOperatorServer(s.OperatorAddr(), set, func() (bool, string) { return true, "" })
 	if err != nil {
 		return err
 	}
--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -25,6 +25,7 @@
 	"github.com/jacinthbend/jacinthbend/internal/topicwatch"
 	"github.com/jacinthbend/jacinthbend/internal/upstream"
 	"github.com/jacinthbend/jacinthbend/internal/upstreamclient"
+	"github.com/jacinthbend/jacinthbend/internal/witness"
 	"github.com/jacinthbend/jacinthbend/platform"
 )
 
@@ -49,6 +50,12 @@
 	startWait    *startWait
 	// quotaRestored is closed once the quota usage of earlier starts has been read.
 	quotaRestored chan struct{}
+	// witnessesRead is closed once it is known what the witnesses tell of earlier starts, and began is
+	// when this start began, on the boot-time clock.
+	witnessesRead chan struct{}
+	began         time.Duration
+	witnessClient *witness.Client
+	reporter      *witness.Reporter
 	origins       *streamorigin.Tracker
 	metrics       *metrics.Set
 }
@@ -56,7 +63,7 @@
 // RunEntry runs an entry instance until ctx ends, and then drains it.
 func RunEntry(ctx context.Context, p *Process) error {
 	s, logger := p.Settings, p.Logger
-	e := &entry{settings: s, logger: logger, lifecycle: lifecycle.New(), era: newStoreEra(), metrics: metrics.NewSet(), quotaRestored: make(chan struct{})}
+	e := &entry{settings: s, logger: logger, lifecycle: lifecycle.New(), era: newStoreEra(), metrics: metrics.NewSet(), quotaRestored: make(chan struct{}), witnessesRead: make(chan struct{})}
 	e.startWait = newStartWait(e.metrics, logger)
 	if err := e.assemble(); err != nil {
 		return err
@@ -67,7 +74,9 @@
 	if err := e.listen(); err != nil {
 		return err
 	}
+	e.holdShares()
 	p.run(jobs, "restore quota usage", e.restoreQuotaUsage)
+	p.run(jobs, "report quota usage", e.reportUsage)
 	p.run(jobs, "write checkpoints", e.writeCheckpoints)
 	p.run(jobs, "follow topics", func(ctx context.Context) {
 		e.follower.Run(ctx, topicwatch.Operators, topicwatch.Upstreams, topicwatch.Members, topicwatch.Crashes)
@@ -118,6 +127,12 @@
 	if !s.FirstStart {
 		e.quota.Resume(tokenquota.Unread, tokenquota.Checkpoint{})
 	}
+	if e.witnessClient, err = witness.NewClient(); err != nil {
+		return err
+	}
+	e.reporter = witness.NewReporter(witness.ReporterOptions{
+		Instance: s.Instance, Transport: e.witnessClient, Clock: witness.BootTime, Source: e.quota, Members: e.members, Logger: e.logger, Metrics: e.metrics,
+	})
 	crashes := quarantine.NewTable()
 	e.crashReports = newCrashReports(s.Instance, crashes, e.store, entryrpc.NewCrashSender(e.entryClient), e.entryCount, e.logger)
 	e.origins = streamorigin.New(streamorigin.Options{Log: streamLog{instance: s.Instance, store: e.store}, Peers: e.entryClient, Entries: e.entryCount, Logger: e.logger, RefreshList: e.refreshUpstreams})
--- a/internal/managed/quota_restore.go
+++ b/internal/managed/quota_restore.go
@@ -27,12 +27,16 @@
 	quotaReadyWait = time.Second
 )
 
-// restoreQuotaUsage reads what earlier starts of this instance used of the token quotas. It
-// retries until the store responds or ctx ends. Until then the limiter counts all of this
+// restoreQuotaUsage reads what earlier starts of this instance used of the token quotas, from their
+// witnesses or else from the store. It retries until the store responds or ctx ends. Until then the limiter counts all of this
 // instance's shares as spent.
 func (e *entry) restoreQuotaUsage(ctx context.Context) {
 	defer close(e.quotaRestored)
 	if e.settings.FirstStart {
+		close(e.witnessesRead)
+		return
+	}
+	if e.resumeFromWitnesses(ctx) {
 		return
 	}
 	readUntilAnswered(ctx, e.logger, func(ctx context.Context) error {
--- a/internal/tokenquota/checkpoint.go
+++ b/internal/tokenquota/checkpoint.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/jacinthbend/jacinthbend/internal/fleet"
 )
 
 // Checkpoints tell a restarted instance what it spent before. Teams with low
@@ -89,14 +91,17 @@
 
 // newTeamQuota returns a team's quota at this instance, in which the tokens that
 // earlier starts may have spent count as spent.
-func (l *Limiter) newTeamQuota(team string, share, rateFraction float64, now time.Time) *teamQuota {
-	q := &teamQuota{share: share, rateFraction: rateFraction}
-	l.assumeEarlierStarts(q, team, share, now)
+func (l *Limiter) newTeamQuota(t fleet.Team, share float64, now time.Time) *teamQuota {
+	q := &teamQuota{share: share, rateFraction: l.bounds.rateFraction(t.Rate, t.Burst), step: l.bounds.stepFraction(t.Rate, t.Burst), lease: &l.lease}
+	l.assumeEarlierStarts(q, t.Name, share, now)
 	return q
 }
 
 // assumeEarlierStarts makes count as spent what earlier starts may have spent.
 func (l *Limiter) assumeEarlierStarts(q *teamQuota, team string, share float64, now time.Time) {
+	if l.assumeWitnessed(q, team, share, now) {
+		return
+	}
 	q.unread = l.startKind == Unread
 	q.assumeSpent(0, now)
 	switch {
@@ -160,6 +165,7 @@
 // signals that a checkpoint is due if the team is above the threshold and has
 // spent half a step since then.
 func (l *Limiter) countTowardCheckpoint(q *teamQuota, tokens float64, now time.Time) {
+	l.signalUsage()
 	q.spentSinceCheckpoint += tokens
 	if !l.aboveThreshold(q, now) || q.spentSinceCheckpoint < checkpointStep/2*q.share {
 		return
@@ -202,8 +208,9 @@
 			ahead, aheadAt = left, q.record.aheadAt
 		}
 		q.wanted = 0
-		// A team that was listed stays so in an outage, in which it could not be listed again.
-		if ahead == 0 && !l.aboveThreshold(q, now) && !(q.listed && l.notWritten) {
+		// A team that was listed stays so in an outage, in which it could not be listed again, and while
+		// the next start may learn from the witnesses that it is listed.
+		if ahead == 0 && !l.aboveThreshold(q, now) && !(q.listed && (l.notWritten || l.reportedListed(q))) {
 			q.listed = false
 			continue
 		}
@@ -225,6 +232,12 @@
 	return c
 }
 
+// reportedListed reports whether the witnesses may have a record, of this start or of an earlier one,
+// that tells that a checkpoint lists the team.
+func (l *Limiter) reportedListed(q *teamQuota) bool {
+	return l.lease.held() || q.listedSequence > 0 && l.lease.current() && l.witnessedSequence <= q.listedSequence
+}
+
 // Confirm tells that the store has taken a checkpoint. What it lists may be spent, as the next start
 // knows of it. Checkpoints are confirmed in the order in which they were made.
 func (l *Limiter) Confirm(c Checkpoint) {
--- a/internal/tokenquota/decision.go
+++ b/internal/tokenquota/decision.go
@@ -13,7 +13,8 @@
 	// NoHolderAnswered means that this instance holds no share and no holder
 	// answered, so it is unknown whether the allowance is used up.
 	NoHolderAnswered bool
-	// Unrecorded means that a part of the share is free, but lacks a record in the store.
+	// Unrecorded means that a part of the share is free, but lacks a record in the store or at the
+	// witnesses.
 	Unrecorded bool
 	// record waits for that record.
 	record recordWaiter
--- a/internal/tokenquota/limiter.go
+++ b/internal/tokenquota/limiter.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
+	"github.com/jacinthbend/jacinthbend/internal/witness"
 )
 
 // Limiter holds an instance's shares of the allowances of all teams. It is safe
@@ -26,15 +27,33 @@
 	// notWritten tells that the store has not taken the last checkpoint.
 	notWritten bool
 	// writeEnded is closed when a checkpoint has been written or not.
-	writeEnded    chan struct{}
+	writeEnded chan struct{}
+	// lease is what the witnesses allow, and earlier what they told of earlier starts, nil if nothing.
+	lease   witnessLease
+	earlier *witnessedStart
+	// pending are the records for the witnesses that are not confirmed, in order, and
+	// witnessedSequence is the newest that is.
+	pending           []pendingUsage
+	witnessedSequence uint64
+	usageDue          chan struct{}
+	// notWitnessed tells that the witnesses do not answer, and usageEnded is closed when a record has
+	// been confirmed or not.
+	notWitnessed  bool
+	usageEnded    chan struct{}
 	configVersion int64
 	instances     []string
+	// allotment is a digest of what the shares follow from.
+	allotment uint64
 }
 
 // NewLimiter returns the limiter of the instance called self, without teams, as
 // if nothing had been spent before.
 func NewLimiter(self string, bounds Bounds, holders HolderClient) *Limiter {
-	return &Limiter{self: self, bounds: bounds, holders: holders, checkpointDue: make(chan struct{}, 1), writeEnded: make(chan struct{}), quotas: make(map[string]*teamQuota)}
+	return &Limiter{
+		self: self, bounds: bounds, holders: holders, quotas: make(map[string]*teamQuota),
+		checkpointDue: make(chan struct{}, 1), writeEnded: make(chan struct{}),
+		lease: witnessLease{clock: witness.BootTime}, usageDue: make(chan struct{}, 1), usageEnded: make(chan struct{}),
+	}
 }
 
 // Resume sets what is known of earlier starts. It must be called before the
@@ -44,11 +63,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.startKind, l.lastCheckpoint = s, last
-	for team, q := range l.quotas {
-		if q.unread {
-			l.assumeEarlierStarts(q, team, q.share, now)
-		}
-	}
+	l.resumeUnread(now)
 }
 
 func (l *Limiter) window() time.Duration { return l.bounds.Window + windowMargin }
@@ -65,7 +80,7 @@
 	if c.Version == l.configVersion && slices.Equal(instances, l.instances) {
 		return
 	}
-	l.configVersion, l.instances = c.Version, instances
+	l.configVersion, l.instances, l.allotment = c.Version, instances, l.bounds.digestAllotment(c.Teams, instances)
 	limited := make(map[string]bool, len(c.Teams))
 	for _, t := range c.Teams {
 		if t.Rate <= 0 {
@@ -79,7 +94,7 @@
 		}
 		q, ok := l.quotas[t.Name]
 		if !ok {
-			q = l.newTeamQuota(t.Name, share, l.bounds.rateFraction(t.Rate, t.Burst), now)
+			q = l.newTeamQuota(t, share, now)
 			l.quotas[t.Name] = q
 		} else if q.share == 0 && share > 0 {
 			// This instance has become a holder. The one that it replaces may have
@@ -87,7 +102,7 @@
 			q.assumeSpent(1, now)
 			q.unread = false
 		}
-		q.share, q.rateFraction = share, l.bounds.rateFraction(t.Rate, t.Burst)
+		q.share, q.rateFraction, q.step = share, l.bounds.rateFraction(t.Rate, t.Burst), l.bounds.stepFraction(t.Rate, t.Burst)
 		q.otherHolders = slices.DeleteFunc(teamHolders, func(name string) bool { return name == l.self })
 	}
 	for name := range l.quotas {
@@ -95,6 +110,11 @@
 			delete(l.quotas, name)
 		}
 	}
+	if l.earlier != nil {
+		// The witnesses may know of shares that this instance has learned of only now.
+		l.resumeUnread(now)
+	}
+	l.signalUsage()
 }
 
 // Take spends tokens of a team, and borrows from other holders what is missing. It waits a short
@@ -159,17 +179,28 @@
 		return d
 	}
 	if unspent := q.unspent(l.window(), now); unspent > q.free(l.window(), now) {
-		d.Unrecorded, d.record = true, l.newRecordWaiter()
-		l.wantRecord(q, min(tokens, unspent))
+		d.Unrecorded, d.record = true, l.wantRecord(q, min(tokens, unspent), now)
 	}
 	d.Wait = q.wait(tokens, l.window(), now)
 	return d
 }
 
-// wantRecord makes a checkpoint due that counts tokens as spent before they are.
-func (l *Limiter) wantRecord(q *teamQuota, tokens float64) {
+// wantRecord makes the records due that are missing for tokens to be spent: a checkpoint, a record
+// for the witnesses or both. They count the tokens as spent before they are. It returns a waiter for
+// one of them.
+func (l *Limiter) wantRecord(q *teamQuota, tokens float64, now time.Time) recordWaiter {
+	checkpoint := q.checkpointFree(l.window(), now) < tokens
+	usage := q.witnessFree(l.window(), now) < tokens
+	if usage {
+		q.usageWanted = max(q.usageWanted, tokens)
+		l.signalUsage()
+	}
+	if !checkpoint && usage {
+		return recordWaiter{ended: l.usageEnded, none: l.notWitnessed || l.lease.held() && !l.lease.endsOnConfirm}
+	}
 	q.wanted = max(q.wanted, tokens)
 	l.signalCheckpoint()
+	return l.newRecordWaiter()
 }
 
 // RecordWanted reports whether somebody waits for a checkpoint.
@@ -276,9 +307,8 @@
 		return lent, 0, true, nil
 	}
 	if unspent := q.unspent(l.window(), now); unspent > 0 {
-		waiter := l.newRecordWaiter()
+		waiter := l.wantRecord(q, min(rest, unspent), now)
 		record = &waiter
-		l.wantRecord(q, min(rest, unspent))
 	}
 	return lent, q.wait(rest, l.window(), now), true, record
 }
--- a/internal/tokenquota/team_quota.go
+++ b/internal/tokenquota/team_quota.go
@@ -37,6 +37,16 @@
 	record *teamRecord
 	// wanted is what was refused only because it would not have been in a record.
 	wanted float64
+	// lease is that of the instance, witnessed what the newest record tells that the witnesses have
+	// confirmed, nil if there is none, and step the fraction of the share that is one step beyond it.
+	lease     *witnessLease
+	witnessed *teamRecord
+	step      float64
+	// usageWanted is what was refused only because the witnesses would not have known it.
+	usageWanted float64
+	// listedSequence is the newest record for the witnesses that tells that a checkpoint lists this
+	// team.
+	listedSequence uint64
 	// amounts counts the amounts recorded in spent so far.
 	amounts uint64
 	// spent are the amounts spent or lent, in the order in which they were
@@ -86,7 +96,12 @@
 
 // free is the part of this instance's own share that may be spent now.
 func (q *teamQuota) free(window time.Duration, now time.Time) float64 {
-	return max(0, q.limit(window, now)-q.assumedSpent(window, now)-q.spentSum)
+	return min(q.checkpointFree(window, now), q.witnessFree(window, now))
+}
+
+// checkpointFree is the part of the share that may be spent now as far as the store knows it.
+func (q *teamQuota) checkpointFree(window time.Duration, now time.Time) float64 {
+	return max(0, q.checkpointLimit(window, now)-q.assumedSpent(window, now)-q.spentSum)
 }
 
 // unspent is what is left of the share, recorded or not.
@@ -117,6 +132,10 @@
 // wait estimates the time until tokens of this instance's own share are free,
 // if nothing else is spent.
 func (q *teamQuota) wait(tokens float64, window time.Duration, now time.Time) time.Duration {
+	if q.checkpointFree(window, now) >= tokens {
+		// Only the witnesses do not know of it.
+		return min(window, max(time.Millisecond, q.lease.left()))
+	}
 	free := q.limit(window, now) - q.assumedSpent(window, now) - q.spentSum
 	// Loans made to others are recorded at the time they expire, so the times
 	// are not in order.
--- a/internal/tokenquota/team_record.go
+++ b/internal/tokenquota/team_record.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// teamRecord is what a checkpoint tells of a team's spending. The next start counts it as spent, and
-// checkpointStep of the share or more beside it.
+// teamRecord is what a checkpoint, or a record for the witnesses, tells of a team's spending. The next
+// start counts it as spent, and a step beside it.
 type teamRecord struct {
 	// amounts is the number of the last amount that it contains.
 	amounts uint64
@@ -13,6 +13,8 @@
 	// when that was asked for.
 	ahead   float64
 	aheadAt time.Time
+	// step is one witnessStep in tokens, in a record for the witnesses.
+	step float64
 }
 
 // aheadTTL is how long after the request for it a part may be spent that was recorded ahead. Each
@@ -33,31 +35,51 @@
 	return max(0, left)
 }
 
-// recorded returns the tokens that the next start will read as spent in the window before now.
-func (q *teamQuota) recorded(window time.Duration, now time.Time) float64 {
-	if q.record == nil {
-		return 0
-	}
+// recordedSpent returns the tokens spent in the window before now that a record has.
+func (q *teamQuota) recordedSpent(r *teamRecord, window time.Duration, now time.Time) float64 {
 	sum := 0.0
 	for _, t := range q.spent {
-		if t.number <= q.record.amounts {
+		if t.number <= r.amounts {
 			sum += t.tokens
 		}
 	}
-	if q.record.assumedAt.Equal(q.assumedAt) {
+	if r.assumedAt.Equal(q.assumedAt) {
 		sum += q.assumedSpent(window, now)
 	}
-	if now.Sub(q.record.aheadAt) <= aheadTTL {
-		sum += q.record.ahead
+	return sum
+}
+
+// recordedIn returns the tokens that the next start will read from a record as spent in the window
+// before now.
+func (q *teamQuota) recordedIn(r *teamRecord, window time.Duration, now time.Time) float64 {
+	if r == nil {
+		return 0
+	}
+	sum := q.recordedSpent(r, window, now)
+	if now.Sub(r.aheadAt) <= aheadTTL {
+		sum += r.ahead
 	}
 	return sum
 }
 
 // limit returns how much may be spent in the window before now: no more than the next start counts
-// as spent if the store takes no further checkpoint. Otherwise a start would give out again what the
-// one before it gave out in an outage of the store.
+// as spent, whether it asks the store or the witnesses.
 func (q *teamQuota) limit(window time.Duration, now time.Time) float64 {
-	return min(q.share, max(q.unrecorded(q.listed)*q.share, q.recorded(window, now)+checkpointStep*q.share))
+	limit := q.checkpointLimit(window, now)
+	if q.lease.held() {
+		return min(limit, q.assumedSpent(window, now)+q.spentSum)
+	}
+	if q.lease.current() {
+		return min(limit, q.witnessedLimit(window, now))
+	}
+	return limit
+}
+
+// checkpointLimit returns how much may be spent in the window before now: no more than the next start
+// counts as spent if the store takes no further checkpoint. Otherwise a start would give out again what
+// the one before it gave out in an outage of the store.
+func (q *teamQuota) checkpointLimit(window time.Duration, now time.Time) float64 {
+	return min(q.share, max(q.unrecorded(q.listed)*q.share, q.recordedIn(q.record, window, now)+checkpointStep*q.share))
 }
 
 // unrecordedFraction is the fraction of a share that may be spent in a window without a record of it.
--- /dev/null
+++ b/internal/tokenquota/witness_start.go
@@ -0,0 +1,89 @@
+package tokenquota
+
+import (
+	"time"
+
+	"github.com/jacinthbend/jacinthbend/internal/witness"
+)
+
+// witnessedStart is what witnesses told of the spending of earlier starts.
+type witnessedStart struct {
+	quota witness.Quota
+	// at is when quota was true, or later.
+	at time.Time
+}
+
+// ResumeWitnessed sets what earlier starts had spent, as their witnesses know it, age ago. Only one
+// step beside it counts as spent, and nothing has to be read from the store. It reports whether the
+// shares of this instance are the same as then, as far as they are known. Otherwise a share may have
+// been another instance's, and Resume has to follow.
+func (l *Limiter) ResumeWitnessed(quota witness.Quota, age time.Duration) bool {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.earlier = &witnessedStart{quota: quota, at: now.Add(-age)}
+	l.resumeUnread(now)
+	return quota.Allotment == l.allotment
+}
+
+// Configured reports whether Configure was called.
+func (l *Limiter) Configured() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.instances != nil
+}
+
+// resumeUnread counts what earlier starts may have spent for the teams for which that was not known.
+func (l *Limiter) resumeUnread(now time.Time) {
+	for team, q := range l.quotas {
+		if q.unread {
+			l.assumeEarlierStarts(q, team, q.share, now)
+		}
+	}
+}
+
+// assumeWitnessed makes count as spent what the witnesses know, and reports whether they know it.
+func (l *Limiter) assumeWitnessed(q *teamQuota, team string, share float64, now time.Time) bool {
+	if l.earlier == nil || l.earlier.quota.Allotment != l.allotment {
+		return false
+	}
+	q.unread = false
+	if share == 0 {
+		return true
+	}
+	t := l.earlier.quota.Teams[team]
+	for i := len(t.Spent) - 1; i >= 0; i-- {
+		at := l.earlier.at.Add(-witness.SpentBefore(i))
+		if t.Spent[i] > 0 && now.Sub(at) <= l.window() {
+			q.spend(t.Spent[i], at)
+		}
+	}
+	q.listed = t.Listed
+	// What was recorded ahead may have been spent at any time before this start, like the step.
+	q.assumeSpent(q.step+t.Ahead/share, now)
+	l.signalCheckpoint()
+	l.signalUsage()
+	return true
+}
+
+// HoldUntil keeps all shares back until a time on the boot-time clock.
+func (l *Limiter) HoldUntil(until time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lease.holdUntil = until
+}
+
+// EndHoldOnConfirm ends the hold with the first record that is confirmed.
+func (l *Limiter) EndHoldOnConfirm() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lease.endsOnConfirm = true
+}
+
+// EndHold ends the hold, since there are no witnesses that a later start could ask.
+func (l *Limiter) EndHold() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lease.holdUntil = 0
+	l.announceUsage()
+}
--- a/internal/witness/quota.go
+++ b/internal/witness/quota.go
@@ -20,6 +20,8 @@
 	// Spent are the tokens spent or lent, newest first: those that a borrower may spend up to one
 	// Quarter after the record was made, then those of the last Quarter before it, and so on.
 	Spent []float64 `json:"spent,omitempty"`
+	// Ahead are tokens that were asked for and may have been spent after the record was made.
+	Ahead float64 `json:"ahead,omitempty"`
 	// Listed tells that the newest checkpoint in the store lists the team.
 	Listed bool `json:"listed,omitempty"`
 }
@@ -41,7 +43,7 @@
 func (q Quota) Valid() bool {
 	const maxPeriods = 1 << 12
 	for _, team := range q.Teams {
-		if len(team.Spent) > maxPeriods {
+		if len(team.Spent) > maxPeriods || team.Ahead < 0 {
 			return false
 		}
 		for _, tokens := range team.Spent {
--- a/internal/witness/reporter.go
+++ b/internal/witness/reporter.go
@@ -90,10 +90,12 @@
 	// unconfirmedSince is when the first record was made after the newest confirmed one, 0 if there
 	// is none.
 	unconfirmedSince time.Duration
-	silent           bool
-	superseded       bool
-	lastSize         int
-	calls            map[string]*callState
+	// leaseSent tells that a record with lease has been sent.
+	leaseSent  bool
+	silent     bool
+	superseded bool
+	lastSize   int
+	calls      map[string]*callState
 }
 
 // callState is what is known of the calls to one witness.
@@ -169,6 +171,14 @@
 	return max(0, r.leaseEnd-r.Clock()).Seconds()
 }
 
+// leaseUnsent reports whether no record tells yet that one of this start was confirmed, so that a
+// start could not use it.
+func (r *Reporter) leaseUnsent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease != nil && !r.leaseSent
+}
+
 // waitNext waits until the next record is due.
 func (r *Reporter) waitNext(ctx context.Context) {
 	began, changed := time.Now(), false
@@ -178,7 +188,7 @@
 	for {
 		pause := heartbeatInterval
 		switch {
-		case r.Source.UsageWanted():
+		case r.Source.UsageWanted() || r.leaseUnsent():
 			pause = urgentInterval
 		case changed:
 			pause = min(usual, heartbeatInterval)
@@ -224,7 +234,7 @@
 	now := r.Clock()
 	if r.leaseEnd > 0 && now > r.leaseEnd {
 		r.Logger.Warn("no witness has confirmed the quota usage in time; the next start will not know it exactly", zap.Uint64("confirmed", r.confirmed))
-		r.current, r.lease, r.leaseEnd = nil, nil, 0
+		r.current, r.lease, r.leaseEnd, r.leaseSent = nil, nil, 0, false
 	}
 	if r.unconfirmedSince > 0 && now-r.unconfirmedSince > silenceLimit && !r.silent {
 		r.silent = true
@@ -245,7 +255,7 @@
 		r.Logger.Error("cannot report the quota usage", zap.Int("bytes", len(quota)), telemetry.Err(err))
 		return nil, nil
 	}
-	r.lastSize = len(quota)
+	r.lastSize, r.leaseSent = len(quota), r.lease != nil
 	rd.record = Record{Instance: r.Instance, Start: r.start, Sequence: r.sequence, Sets: sets, Covers: r.covers, Lease: r.lease, Quota: quota}
 	if len(quota)+len(r.usage) <= MaxRecordBytes {
 		rd.record.Usage = r.usage
--- a/internal/witness/table.go
+++ b/internal/witness/table.go
@@ -108,7 +108,7 @@
 		for _, r := range records {
 			s := Stored{Record: r.Record, AgeMS: (now - r.at).Milliseconds(), LeaseAgeMS: -1}
 			if m, ok := r.Lease[t.name]; ok && m.Epoch == t.epoch {
-				s.LeaseAgeMS = max(0, (now - t.began - m.At()).Milliseconds()+1)
+				s.LeaseAgeMS = max(0, (now-t.began-m.At()).Milliseconds()+1)
 			}
 			if req.UsageOnly {
 				s.Quota = nil
