--- a/internal/managed/usage_reports.go
+++ b/internal/managed/usage_reports.go
@@ -59,6 +59,10 @@
 		return false
 	}
 	found := witness.Find(ctx, e.settings.Instance, members, e.witnessClient, witness.BootTime, e.began)
+	if !found.Known && !found.Complete {
+		// A machine that has just started may be slow, and ages count from the start.
+		found = witness.Find(ctx, e.settings.Instance, members, e.witnessClient, witness.BootTime, e.began)
+	}
 	e.reporter.Continue(found, e.began+witness.Lease)
 	applied := e.quota.ResumeWitnessed(found)
 	e.metrics.GetOrCreateCounter(fmt.Sprintf("jacinthbend_witness_starts_total{known=%q}", fmt.Sprint(applied))).Inc()
--- a/internal/witness/reporter.go
+++ b/internal/witness/reporter.go
@@ -100,6 +100,9 @@
 
 // callState is what is known of the calls to one witness.
 type callState struct {
+	// addr is its last known address. A set is left only with the consent of its members, which may
+	// have gone from the list.
+	addr          string
 	running       bool
 	failingSince  time.Duration
 	excludedUntil time.Duration
@@ -267,12 +270,15 @@
 	addrs := make(map[string]string)
 	for _, set := range sets {
 		for _, name := range set {
-			m, known := members[name]
 			if r.calls[name] == nil {
 				r.calls[name] = &callState{}
 			}
-			if c := r.calls[name]; known && addrs[name] == "" && !c.running {
-				c.running, addrs[name] = true, m.Addr
+			c := r.calls[name]
+			if m, known := members[name]; known {
+				c.addr = m.Addr
+			}
+			if c.addr != "" && addrs[name] == "" && !c.running {
+				c.running, addrs[name] = true, c.addr
 			}
 		}
 	}
--- a/internal/witness/table.go
+++ b/internal/witness/table.go
@@ -61,8 +61,8 @@
 // Write takes a record, unless it knows a newer one of the same start. It takes none rather than
 // drop one of another instance, which may be part of a majority.
 func (t *Table) Write(rec Record) (WriteResponse, error) {
-	if rec.Instance == "" || rec.Start == 0 || rec.Sequence == 0 {
-		return WriteResponse{}, errkind.New(errkind.InvalidRequest, "the record names no instance, start or sequence")
+	if rec.Instance == "" || rec.Start == 0 || rec.Sequence == 0 || len(rec.Sets) == 0 {
+		return WriteResponse{}, errkind.New(errkind.InvalidRequest, "the record names no instance, start, sequence or witnesses")
 	}
 	if rec.size() > MaxRecordBytes {
 		return WriteResponse{}, errkind.New(errkind.BodyTooLarge, "the record is too large")
