--- a/internal/managed/usage_reports.go
+++ b/internal/managed/usage_reports.go
@@ -51,19 +51,7 @@
 	for deadline := time.Now().Add(viewWait); !e.quota.Configured() && time.Now().Before(deadline) && ctx.Err() == nil; {
 		sleep(ctx, readyPollInterval)
 	}
-	members := e.members()
-	if len(witness.Candidates(e.settings.Instance, members)) == 0 {
-		if members != nil {
-			e.quota.EndHold()
-		}
-		return false
-	}
-	found := witness.Find(ctx, e.settings.Instance, members, e.witnessClient, witness.BootTime, e.began)
-	if !found.Known && !found.Complete {
-		// A machine that has just started may be slow, and ages count from the start.
-		found = witness.Find(ctx, e.settings.Instance, members, e.witnessClient, witness.BootTime, e.began)
-	}
-	e.reporter.Continue(found, e.began+witness.Lease)
+	found := e.reporter.Resume(ctx, e.began)
 	applied := e.quota.ResumeWitnessed(found)
 	e.metrics.GetOrCreateCounter(fmt.Sprintf("jacinthbend_witness_starts_total{known=%q}", fmt.Sprint(applied))).Inc()
 	e.logger.Info("asked witnesses for the quota usage of earlier starts", zap.Bool("known", found.Known), zap.Bool("applied", applied), zap.String("reason", found.Reason),
--- a/internal/tokenquota/witness_start.go
+++ b/internal/tokenquota/witness_start.go
@@ -20,6 +20,11 @@
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if found.NoWitnesses {
+		// No later start can ask any either.
+		l.lease.holdUntil = 0
+		return false
+	}
 	l.lease.endsOnConfirm = found.Complete
 	if !found.Known {
 		return false
@@ -81,11 +86,3 @@
 	defer l.mu.Unlock()
 	l.lease.holdUntil = until
 }
-
-// EndHold ends the hold, since there are no witnesses that a later start could ask.
-func (l *Limiter) EndHold() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.lease.holdUntil = 0
-	l.announceUsage()
-}
--- a/internal/witness/earlier.go
+++ b/internal/witness/earlier.go
@@ -21,10 +21,14 @@
 	// Complete tells that no later start can find a record of Starts without one of this start, once
 	// a majority of each of Sets has taken one. Otherwise there may be records that were not found.
 	Complete bool
+	// NoWitnesses tells that there are no agents.
+	NoWitnesses bool
 }
 
 // Reasons for which the spending of earlier starts is not known.
 const (
+	reasonNoMembers  = "no members are known"
+	reasonNoAgents   = "there are no agents"
 	reasonNoRecord   = "no record"
 	reasonSeveral    = "records of several starts that do not know each other"
 	reasonFewAnswers = "too few witnesses answered"
--- a/internal/witness/find.go
+++ b/internal/witness/find.go
@@ -19,9 +19,9 @@
 	findWidth = 2 * setSize
 )
 
-// Find asks witnesses for the records of earlier starts of an instance. began is when this start
+// find asks witnesses for the records of earlier starts of an instance. began is when this start
 // began, on clock; earlier starts had ended by then.
-func Find(ctx context.Context, instance string, members map[string]fleet.Member, transport Transport, clock Clock, began time.Duration) Earlier {
+func find(ctx context.Context, instance string, members map[string]fleet.Member, transport Transport, clock Clock, began time.Duration) Earlier {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	type result struct {
--- a/internal/witness/reporter.go
+++ b/internal/witness/reporter.go
@@ -127,12 +127,25 @@
 	return r
 }
 
-// Continue tells what was found of earlier starts. until is when no lease of theirs is left. It must
-// be called before Run.
-func (r *Reporter) Continue(e Earlier, until time.Duration) {
+// Resume asks the witnesses for the records of earlier starts, which had ended when this one began, on
+// Clock. It must be called before Run.
+func (r *Reporter) Resume(ctx context.Context, began time.Duration) Earlier {
+	members := r.Members()
+	if members == nil {
+		return Earlier{Reason: reasonNoMembers}
+	}
+	if len(Candidates(r.Instance, members)) == 0 {
+		return Earlier{Reason: reasonNoAgents, NoWitnesses: true}
+	}
+	found := find(ctx, r.Instance, members, r.Transport, r.Clock, began)
+	if !found.Known && !found.Complete {
+		// A machine that has just started may be slow, and ages count from the start.
+		found = find(ctx, r.Instance, members, r.Transport, r.Clock, began)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.covers, r.current, r.leaseEnd = e.Starts, e.Sets, until
+	r.covers, r.current, r.leaseEnd = found.Starts, found.Sets, began+Lease
+	return found
 }
 
 // Start returns the random number of this start.
