Replace a witness only while others answer; keep its address

Cause: an instance that is cut off replaced its witnesses one after the other. Change: a witness is replaced only while others answer.

--- a/internal/tokenquota/witness_start_test.go
+++ b/internal/tokenquota/witness_start_test.go
@@ -142,6 +142,20 @@
 	})
 }
 
+// TestLostWitnessKept guards against an instance that loses its witnesses one after the other and
+// chooses no others.
+func TestLostWitnessKept(t *testing.T) {
+	runStartTest(t, func(s *startTest) {
+		s.knowOnly(0, 1, 2, 3, 4, 5)
+		s.settle()
+		for lost := range 4 {
+			s.loseOnly(first(lost)...)
+			time.Sleep(2 * time.Second)
+		}
+		s.check.True(s.limiter(s.names[0]).lease.current())
+	})
+}
+
 // TestWitnessRestarted guards against counting a witness that has forgotten the newest record.
 func TestWitnessRestarted(t *testing.T) {
 	runStartTest(t, func(s *startTest) {
--- a/internal/witness/lease.go
+++ b/internal/witness/lease.go
@@ -4,9 +4,9 @@
 
 // Lease is how long after it made a confirmed report an instance stays within one step of it. The
 // platform restarts a process after about 1 s, a process on 0.11 of a core takes up to 1 s until it
-// listens, and the newest report is up to heartbeatInterval and the one before that. While no
+// listens, and the age of a lease at the end of a process is up to two heartbeatIntervals. While no
 // witness can be reached, teams that need more than a step are refused until the lease ends, so it
-// is no longer than that.
+// is no longer than these times together.
 const Lease = 3 * time.Second
 
 // ClockMargin covers the different rates of the boot-time clocks of two machines, of which one
--- a/internal/witness/reporter.go
+++ b/internal/witness/reporter.go
@@ -87,6 +87,8 @@
 	lease     map[string]Mark
 	current   [][]string
 	leaseEnd  time.Duration
+	// answeredAt is when a witness last took a record.
+	answeredAt time.Duration
 	// unconfirmedSince is when the first record was made after the newest confirmed one, 0 if there
 	// is none.
 	unconfirmedSince time.Duration
@@ -100,8 +102,8 @@
 
 // callState is what is known of the calls to one witness.
 type callState struct {
-	// addr is its last known address. A set is left only with the consent of its members, which may
-	// have gone from the list.
+	// addr is its last known address. A set is replaced only after a majority of it has taken a record
+	// that names the new one, also if they are no longer in the list.
 	addr          string
 	running       bool
 	failingSince  time.Duration
@@ -312,13 +314,15 @@
 		if c.failingSince == 0 {
 			c.failingSince = now
 		}
-		if now-c.failingSince > excludeAfter && now > c.excludedUntil {
+		// If none answers, this instance is cut off, and a start would look for its records at the first
+		// candidates.
+		if now-c.failingSince > excludeAfter && now > c.excludedUntil && now-r.answeredAt < excludeAfter {
 			c.excludedUntil = now + excludeFor
 			r.Logger.Warn("a witness of the quota usage does not answer, another is chosen", zap.String("witness", name), telemetry.Err(err))
 		}
 		return
 	}
-	c.failingSince = 0
+	c.failingSince, r.answeredAt = 0, now
 	if resp.Superseded {
 		if !r.superseded {
 			r.superseded = true
