Ask the witnesses also when the store comes back late during a start

Cause: a start learns who the agents are from the store only.

Change: it waits for the store and then asks them. Ages count from the start, so what they know is still exact.

--- a/internal/managed/quota_restore.go
+++ b/internal/managed/quota_restore.go
@@ -36,18 +36,32 @@
 		close(e.witnessesRead)
 		return
 	}
+	var start tokenquota.StartKind
+	var checkpoint tokenquota.Checkpoint
+	readStore := func() {
+		readUntilAnswered(ctx, e.logger, func(ctx context.Context) (err error) {
+			start, checkpoint, err = e.readCheckpoint(ctx)
+			return err
+		})
+	}
+	configured := e.waitConfigured(ctx)
+	if !configured {
+		// The store is out, and only it tells which agents there are. What they know of earlier starts
+		// stays true, since ages count from the start of this process.
+		readStore()
+		e.waitConfigured(ctx)
+	}
 	if e.resumeFromWitnesses(ctx) {
 		return
 	}
-	readUntilAnswered(ctx, e.logger, func(ctx context.Context) error {
-		start, checkpoint, err := e.readCheckpoint(ctx)
-		if err != nil {
-			return err
-		}
-		e.quota.Resume(start, checkpoint)
-		e.logger.Info("restored quota usage of earlier starts", zap.Bool("joined", start == tokenquota.Joined), zap.Bool("checkpoint_lost", start == tokenquota.CheckpointLost), zap.Int("busy_teams", len(checkpoint.Spent)))
-		return nil
-	})
+	if configured {
+		readStore()
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	e.quota.Resume(start, checkpoint)
+	e.logger.Info("restored quota usage of earlier starts", zap.Bool("joined", start == tokenquota.Joined), zap.Bool("checkpoint_lost", start == tokenquota.CheckpointLost), zap.Int("busy_teams", len(checkpoint.Spent)))
 }
 
 // readUntilAnswered calls read until it succeeds or ctx ends.
--- a/internal/managed/usage_reports.go
+++ b/internal/managed/usage_reports.go
@@ -11,10 +11,21 @@
 	"github.com/jacinthbend/jacinthbend/internal/witness"
 )
 
-// viewWait bounds how long a start waits for the members among which its witnesses are. It takes some
-// 10 ms unless both the store and the other instances fail.
+// viewWait bounds how long a start waits for the members among which its witnesses are, and again once
+// the store answers. It takes some 10 ms unless the store fails.
 const viewWait = 2 * time.Second
 
+// waitConfigured waits until the teams and the members are known, for at most viewWait.
+func (e *entry) waitConfigured(ctx context.Context) bool {
+	for deadline := time.Now().Add(viewWait); ctx.Err() == nil && time.Now().Before(deadline); {
+		if e.quota.Configured() {
+			return true
+		}
+		sleep(ctx, readyPollInterval)
+	}
+	return false
+}
+
 // members returns the known members, nil if there are none.
 func (e *entry) members() map[string]fleet.Member {
 	if v := e.follower.View(); v != nil {
@@ -48,9 +59,6 @@
 // reports whether nothing has to be read from the store.
 func (e *entry) resumeFromWitnesses(ctx context.Context) bool {
 	defer close(e.witnessesRead)
-	for deadline := time.Now().Add(viewWait); !e.quota.Configured() && time.Now().Before(deadline) && ctx.Err() == nil; {
-		sleep(ctx, readyPollInterval)
-	}
 	found := e.reporter.Resume(ctx, e.began)
 	applied := e.quota.ResumeWitnessed(found)
 	e.metrics.GetOrCreateCounter(fmt.Sprintf("jacinthbend_witness_starts_total{known=%q}", fmt.Sprint(applied))).Inc()
--- a/internal/managed/witnessed_start_test.go
+++ b/internal/managed/witnessed_start_test.go
@@ -12,9 +12,23 @@
 )
 
 // TestStartWithoutStoreRefusesTeam guards against a start that refuses a team within its rate, because
-// the store does not tell what earlier starts spent, although an agent runs that knows it. What they
-// spent must not be given out again.
+// the store does not tell what earlier starts spent, or did not for some seconds, although an agent
+// runs that knows it. What they spent must not be given out again.
 func TestStartWithoutStoreRefusesTeam(t *testing.T) {
+	for name, test := range map[string]struct {
+		outage time.Duration
+		tokens int
+	}{
+		"usage not told": {0, 30_000},
+		"store out": {2500 * time.Millisecond, 80_000},
+	} {
+		t.Run(name, func(t *testing.T) { testStartWithoutStore(t, test.outage, test.tokens) })
+	}
+}
+
+// testStartWithoutStore starts an instance while the store is out, and then asks it for tokens that it
+// has only if it knows what was spent. Without an outage the store does not tell the usage.
+func testStartWithoutStore(t *testing.T, outage time.Duration, tokens int) {
 	check := is.New(t)
 	c := newCrashCluster(t, 1, 1)
 	engine := platformtest.NewEngine(platformtest.EngineOptions{ID: "i-9", StartMS: 1, WeightsMB: 100, ModelMB: 60, Events: 3}, "m1")
@@ -33,9 +47,15 @@
 	<-time.After(time.Second)
 	c.stops[0]()
 	c.wg.Wait()
-	c.store.Delay(platformtest.SpendingTopic, 10*time.Second)
+	if outage == 0 {
+		c.store.Delay(platformtest.SpendingTopic, 10*time.Second)
+	}
+	c.store.SetDown(outage > 0)
 	c.entries[0].FirstStart = false
-	c.startEntry(0)
-	check.Equal(c.status(0, "within", "key", 30_000, 2*time.Second), http.StatusOK)
-	check.Equal(c.status(0, "twice", "key", 80_000, 2*time.Second), http.StatusTooManyRequests)
+	c.launchEntry(0)
+	<-time.After(outage)
+	c.store.SetDown(false)
+	c.eventually("ready", func() bool { return c.entryReady(0) })
+	check.Equal(c.status(0, "within", "key", tokens, 2*time.Second), http.StatusOK)
+	check.Equal(c.status(0, "twice", "key", 110_000-tokens, 2*time.Second), http.StatusTooManyRequests)
 }
--- a/internal/witness/reporter.go
+++ b/internal/witness/reporter.go
@@ -146,7 +146,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.covers, r.current, r.leaseEnd = found.Starts, found.Sets, began+Lease
+	r.covers = found.Starts
+	if end := began + Lease; r.Clock() < end {
+		r.current, r.leaseEnd = found.Sets, end
+	}
 	return found
 }
 
