--- a/internal/managed/quota_restore.go
+++ b/internal/managed/quota_restore.go
@@ -27,23 +27,41 @@
 	quotaReadyWait = time.Second
 )
 
-// restoreQuotaUsage reads what earlier starts of this instance used of the token quotas. It
-// retries until the store responds or ctx ends. Until then the limiter counts all of this
+// restoreQuotaUsage reads what earlier starts of this instance used of the token quotas, from their
+// witnesses or else from the store. It retries until the store responds or ctx ends. Until then the limiter counts all of this
 // instance's shares as spent.
 func (e *entry) restoreQuotaUsage(ctx context.Context) {
 	defer close(e.quotaRestored)
 	if e.settings.FirstStart {
+		close(e.witnessesRead)
 		return
 	}
-	readUntilAnswered(ctx, e.logger, func(ctx context.Context) error {
-		start, checkpoint, err := e.readCheckpoint(ctx)
-		if err != nil {
+	var start tokenquota.StartKind
+	var checkpoint tokenquota.Checkpoint
+	readStore := func() {
+		readUntilAnswered(ctx, e.logger, func(ctx context.Context) (err error) {
+			start, checkpoint, err = e.readCheckpoint(ctx)
 			return err
-		}
-		e.quota.Resume(start, checkpoint)
-		e.logger.Info("restored quota usage of earlier starts", zap.Bool("joined", start == tokenquota.Joined), zap.Bool("checkpoint_lost", start == tokenquota.CheckpointLost), zap.Int("busy_teams", len(checkpoint.Spent)))
-		return nil
-	})
+		})
+	}
+	configured := e.waitConfigured(ctx)
+	if !configured {
+		// The store is out, and only it tells which agents there are. What they know of earlier starts
+		// stays true, since ages count from the start of this process.
+		readStore()
+		e.waitConfigured(ctx)
+	}
+	if e.resumeFromWitnesses(ctx) {
+		return
+	}
+	if configured {
+		readStore()
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	e.quota.Resume(start, checkpoint)
+	e.logger.Info("restored quota usage of earlier starts", zap.Bool("joined", start == tokenquota.Joined), zap.Bool("checkpoint_lost", start == tokenquota.CheckpointLost), zap.Int("busy_teams", len(checkpoint.Spent)))
 }
 
 // readUntilAnswered calls read until it succeeds or ctx ends.
