Leave a reserve for small and urgent requests in a team's quota

Cause: tokens went out in order of arrival. In a burst of a team at eight times its rate, calls of 200 tokens were refused together with prompts of fifty times as many.

Change: package admission counts what a team asks for, by size and urgency, over the last window. A request leaves so much of a holder's share that requests of a quarter of its size, and more urgent ones that are not larger, find their tokens until more become free; at most a quarter of the share. The borrow call names the size and the urgency of the request. While more than a quarter of a share is left, the path and its cost are as before.

--- /dev/null
+++ b/internal/admission/ask.go
@@ -0,0 +1,35 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// Ask is what a decision depends on of the request that asks for tokens.
+type Ask struct {
+	// Tokens is the size of the whole request, of which other instances may have lent a part.
+	Tokens float64
+	// Urgency is the priority of the request; 0 is the most urgent.
+	Urgency int
+	// Digest identifies the request when its caller returns; 0 is unknown, and books nothing.
+	Digest uint64
+	// Longest is the longest time after which the tokens are of use; 0 books nothing.
+	Longest time.Duration
+}
+
+const (
+	// maxClass is the class of the largest requests, of 2^30 tokens or more.
+	maxClass = 30
+	// maxUrgency is the least urgent priority that is told apart, as for engines.
+	maxUrgency = 9
+)
+
+// class returns the size class of the request: 0 up to one token, then one for each doubling.
+func (a Ask) class() int {
+	if a.Tokens <= 1 {
+		return 0
+	}
+	return min(maxClass, int(math.Ceil(math.Log2(a.Tokens))))
+}
+
+func (a Ask) urgency() int { return min(max(a.Urgency, 0), maxUrgency) }
--- /dev/null
+++ b/internal/admission/demand.go
@@ -0,0 +1,104 @@
+package admission
+
+import "time"
+
+const (
+	// demandSlots is the number of parts of the window in which demand is counted.
+	demandSlots = 8
+	// recentSlots is the part of the window whose rate counts if it is above that of the whole
+	// window: at the start of a burst the window still holds the demand from before.
+	recentSlots = 2
+	// smallerFactor is how much smaller than a request others are for which it leaves a reserve.
+	// The sizes of one kind of request differ by less, and its largest must not stay behind the
+	// others.
+	smallerFactor = 4
+	// MaxReserve is the largest part of a share that is reserved. So the others always have the
+	// rest, and no size is shut out.
+	MaxReserve = 0.25
+)
+
+// Demand counts the tokens that a team asks for, by size class and urgency, over one window.
+// The zero value has seen nothing.
+type Demand struct {
+	slots [demandSlots]demandSlot
+}
+
+// demandSlot holds the demand of one part of the window.
+type demandSlot struct {
+	// number is the number of the slot since the epoch of times.
+	number int64
+	cells  []demandCell
+}
+
+// demandCell is the demand of the requests of one class and urgency.
+type demandCell struct {
+	class, urgency   int
+	requests, tokens float64
+}
+
+// Add counts a request that asks at the time now since the epoch.
+func (d *Demand) Add(a Ask, now, window time.Duration) {
+	number := slotNumber(now, window)
+	s := &d.slots[number%demandSlots]
+	if s.number != number {
+		s.number, s.cells = number, s.cells[:0]
+	}
+	s.cells = addCell(s.cells, demandCell{a.class(), a.urgency(), 1, a.Tokens})
+}
+
+func slotNumber(now, window time.Duration) int64 {
+	// The first number is above 0, which unused slots have.
+	return int64(max(0, now)/max(1, window/demandSlots)) + demandSlots
+}
+
+func addCell(cells []demandCell, c demandCell) []demandCell {
+	for i := range cells {
+		if cells[i].class == c.class && cells[i].urgency == c.urgency {
+			cells[i].requests += c.requests
+			cells[i].tokens += c.tokens
+			return cells
+		}
+	}
+	return append(cells, c)
+}
+
+// perWindow returns the demand of a window by class and urgency.
+func (d *Demand) perWindow(now, window time.Duration) []demandCell {
+	newest := slotNumber(now, window)
+	var all, recent []demandCell
+	for _, s := range d.slots {
+		if s.number <= newest-demandSlots || s.number > newest {
+			continue
+		}
+		for _, c := range s.cells {
+			all = addCell(all, c)
+			if s.number > newest-recentSlots {
+				c.requests *= demandSlots / recentSlots
+				c.tokens *= demandSlots / recentSlots
+				recent = addCell(recent, c)
+			}
+		}
+	}
+	for i := range all {
+		for _, c := range recent {
+			if c.class == all[i].class && c.urgency == all[i].urgency && c.tokens > all[i].tokens {
+				all[i].requests, all[i].tokens = c.requests, c.tokens
+			}
+		}
+	}
+	return all
+}
+
+// ReserveRate returns how many tokens of a share a request must leave for each second until
+// they become free again: what much smaller requests ask for, and more urgent ones that are not
+// larger. most bounds what is reserved in all.
+func (d *Demand) ReserveRate(a Ask, most float64, now, window time.Duration) float64 {
+	sum := 0.0
+	for _, c := range d.perWindow(now, window) {
+		smaller := smallerFactor*c.tokens <= c.requests*a.Tokens
+		if smaller || c.class <= a.class() && c.urgency < a.urgency() {
+			sum += c.tokens
+		}
+	}
+	return min(most/(window+reserveAhead).Seconds(), sum/window.Seconds())
+}
--- a/internal/entryrpc/client.go
+++ b/internal/entryrpc/client.go
@@ -88,11 +88,11 @@
 var _ tokenquota.HolderClient = (*Client)(nil)
 
 // Borrow implements tokenquota.HolderClient.
-func (c *Client) Borrow(ctx context.Context, team string, tokens float64, holders []string) tokenquota.BorrowResult {
+func (c *Client) Borrow(ctx context.Context, team string, r tokenquota.Request, holders []string) tokenquota.BorrowResult {
 	var result tokenquota.BorrowResult
 	calls := 0
 	for _, m := range c.otherEntries() {
-		if tokens <= 0 || calls >= maxBorrowCalls || ctx.Err() != nil {
+		if r.Missing <= 0 || calls >= maxBorrowCalls || ctx.Err() != nil {
 			break
 		}
 		if !slices.Contains(holders, m.Name) {
@@ -101,16 +101,17 @@
 		calls++
 		callCtx, cancel := context.WithTimeout(ctx, borrowTimeout)
 		var resp borrowResponse
-		err := c.peers.Call(callCtx, m.Addr, pathBorrow, borrowRequest{From: c.self, Team: team, Tokens: tokens}, &resp)
+		err := c.peers.Call(callCtx, m.Addr, pathBorrow, borrowRequest{From: c.self, Team: team, Tokens: r.Missing, quotaAsk: newQuotaAsk(r.Ask), Counted: r.Counted}, &resp)
 		cancel()
 		if err != nil {
 			c.markUnavailable(m.Addr)
 			continue
 		}
 		result.HolderAnswered = result.HolderAnswered || resp.Holder
+		r.Counted = r.Counted || resp.Holder
 		if resp.Tokens > 0 {
 			result.Loans = append(result.Loans, tokenquota.Loan{From: m.Name, Tokens: resp.Tokens})
-			tokens -= resp.Tokens
+			r.Missing -= resp.Tokens
 		}
 		if w := time.Duration(resp.WaitMS) * time.Millisecond; w > 0 && (result.Wait == 0 || w < result.Wait) {
 			result.Wait = w
--- a/internal/entryrpc/messages.go
+++ b/internal/entryrpc/messages.go
@@ -13,24 +13,6 @@
 	pathOrigin = "/v1/entry/stream-origin"
 )
 
-// borrowRequest asks to borrow tokens of a team's quota.
-type borrowRequest struct {
-	From   string  `json:"from"`
-	Team   string  `json:"team"`
-	Tokens float64 `json:"tokens"`
-}
-
-// borrowResponse has the tokens that the lender deducted from its own balance.
-type borrowResponse struct {
-	// Holder is set if the called instance holds a share of the team's quota, as far
-	// as its configuration and member list tell.
-	Holder bool    `json:"holder"`
-	Tokens float64 `json:"tokens"`
-	// WaitMS is the estimated time until the lender has the missing tokens, in ms; 0
-	// is unknown.
-	WaitMS int64 `json:"wait_ms,omitempty"`
-}
-
 // returnRequest returns borrowed tokens that were not spent.
 type returnRequest struct {
 	Team   string  `json:"team"`
--- /dev/null
+++ b/internal/entryrpc/quota_messages.go
@@ -0,0 +1,57 @@
+package entryrpc
+
+import (
+	"time"
+
+	"github.com/jacinthbend/jacinthbend/internal/admission"
+	"github.com/jacinthbend/jacinthbend/internal/tokenquota"
+)
+
+// quotaAsk is what a holder needs to know of a request for tokens.
+type quotaAsk struct {
+	// Size is the size of the whole request in tokens; 0, from an instance of an earlier version,
+	// stands for the tokens that it wants to borrow.
+	Size    float64 `json:"size,omitempty"`
+	Urgency int     `json:"urgency,omitempty"`
+	// Digest identifies the request when its caller returns.
+	Digest uint64 `json:"digest,omitempty"`
+	// LongestMS is the longest time after which the tokens are of use, in ms.
+	LongestMS int64 `json:"longest_ms,omitempty"`
+}
+
+func newQuotaAsk(a admission.Ask) quotaAsk {
+	return quotaAsk{Size: a.Tokens, Urgency: a.Urgency, Digest: a.Digest, LongestMS: a.Longest.Milliseconds()}
+}
+
+func (a quotaAsk) ask() admission.Ask {
+	return admission.Ask{Tokens: a.Size, Urgency: a.Urgency, Digest: a.Digest, Longest: time.Duration(a.LongestMS) * time.Millisecond}
+}
+
+// borrowRequest asks to borrow tokens of a team's quota.
+type borrowRequest struct {
+	From   string  `json:"from"`
+	Team   string  `json:"team"`
+	Tokens float64 `json:"tokens"`
+	quotaAsk
+	// Counted is set if another holder has counted the request as demand.
+	Counted bool `json:"counted,omitempty"`
+}
+
+func (r borrowRequest) request() tokenquota.Request {
+	out := tokenquota.Request{Ask: r.ask(), Missing: r.Tokens, Counted: r.Counted}
+	if out.Tokens == 0 {
+		out.Tokens = r.Tokens
+	}
+	return out
+}
+
+// borrowResponse has the tokens that the lender deducted from its own balance.
+type borrowResponse struct {
+	// Holder is set if the called instance holds a share of the team's quota, as far
+	// as its configuration and member list tell.
+	Holder bool    `json:"holder"`
+	Tokens float64 `json:"tokens"`
+	// WaitMS is the estimated time until the lender has the missing tokens, in ms; 0
+	// is unknown.
+	WaitMS int64 `json:"wait_ms,omitempty"`
+}
--- a/internal/entryrpc/server.go
+++ b/internal/entryrpc/server.go
@@ -11,6 +11,7 @@
 	"github.com/jacinthbend/jacinthbend/internal/peer"
 	"github.com/jacinthbend/jacinthbend/internal/quarantine"
 	"github.com/jacinthbend/jacinthbend/internal/streamorigin"
+	"github.com/jacinthbend/jacinthbend/internal/tokenquota"
 	"github.com/jacinthbend/jacinthbend/internal/topicwatch"
 )
 
@@ -19,7 +20,7 @@
 
 // Lender lends tokens from this instance's share of a team's quota.
 type Lender interface {
-	Lend(ctx context.Context, team string, tokens float64) (lent float64, wait time.Duration, holder bool)
+	LendTo(ctx context.Context, team string, r tokenquota.Request) tokenquota.LendResult
 	Return(team string, tokens float64)
 }
 
@@ -52,8 +53,8 @@
 		return crashReportResponse{}, nil
 	})
 	peer.Handle(r, pathBorrow, func(ctx context.Context, req borrowRequest) (borrowResponse, error) {
-		tokens, wait, holder := lender.Lend(ctx, req.Team, req.Tokens)
-		return borrowResponse{Holder: holder, Tokens: tokens, WaitMS: wait.Milliseconds()}, nil
+		result := lender.LendTo(ctx, req.Team, req.request())
+		return borrowResponse{Holder: result.Holder, Tokens: result.Tokens, WaitMS: result.Wait.Milliseconds()}, nil
 	})
 	peer.Handle(r, pathReturn, func(_ context.Context, req returnRequest) (returnResponse, error) {
 		lender.Return(req.Team, req.Tokens)
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -46,9 +46,12 @@
 	return append(out, Suspect(requestPrefix+r.Digest()))
 }
 
-// Digest returns a hash of the request's content in hexadecimal. The parts of the prompt say
-// what the body contains, but the caller chooses their ids, so they count only without a body.
-func (r Identity) Digest() string {
+// Digest returns a hash of the request's content in hexadecimal.
+func (r Identity) Digest() string { return strconv.FormatUint(r.Hash(), 16) }
+
+// Hash returns a hash of the request's content. The parts of the prompt say what the body
+// contains, but the caller chooses their ids, so they count only without a body.
+func (r Identity) Hash() uint64 {
 	h := xxhash.New()
 	for _, s := range []string{r.Team, r.Method, r.Host, r.URI} {
 		// Writing to a hash never fails. The separator cannot occur in the strings.
@@ -60,7 +63,7 @@
 			_, _ = h.WriteString(p.ID + "\x00")
 		}
 	}
-	return strconv.FormatUint(h.Sum64(), 16)
+	return h.Sum64()
 }
 
 func partSuspect(id string) Suspect {
--- /dev/null
+++ b/internal/tokenquota/lend_result.go
@@ -0,0 +1,14 @@
+package tokenquota
+
+import "time"
+
+// LendResult is a lender's answer.
+type LendResult struct {
+	// Holder is false if this instance holds no share of the allowance, or does not know yet that
+	// it does.
+	Holder bool
+	// Tokens are lent.
+	Tokens float64
+	// Wait is the estimated time until the lender has the rest.
+	Wait time.Duration
+}
--- a/internal/tokenquota/limiter.go
+++ b/internal/tokenquota/limiter.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/jacinthbend/jacinthbend/internal/admission"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 )
 
@@ -29,12 +30,17 @@
 	writeEnded    chan struct{}
 	configVersion int64
 	instances     []string
+	// epoch is the origin of the times of schedules and bookings.
+	epoch time.Time
+	// ignoreReserve gives out tokens in the order of arrival, for the negative control of the
+	// reserve.
+	ignoreReserve bool
 }
 
 // NewLimiter returns the limiter of the instance called self, without teams, as
 // if nothing had been spent before.
 func NewLimiter(self string, bounds Bounds, holders HolderClient) *Limiter {
-	return &Limiter{self: self, bounds: bounds, holders: holders, checkpointDue: make(chan struct{}, 1), writeEnded: make(chan struct{}), quotas: make(map[string]*teamQuota)}
+	return &Limiter{self: self, bounds: bounds, holders: holders, checkpointDue: make(chan struct{}, 1), writeEnded: make(chan struct{}), quotas: make(map[string]*teamQuota), epoch: time.Now()}
 }
 
 // Resume sets what is known of earlier starts. It must be called before the
@@ -97,19 +103,25 @@
 	}
 }
 
-// Take spends tokens of a team, and borrows from other holders what is missing. It waits a short
+// Take is Admit for a request of which only the tokens are known.
+func (l *Limiter) Take(ctx context.Context, team string, tokens float64) Decision {
+	return l.Admit(ctx, team, NewRequest(admission.Ask{Tokens: tokens}))
+}
+
+// Admit spends tokens of a team, and borrows from other holders what is missing. It waits a short
 // time for a checkpoint if the tokens are free and only lack a record in the store.
 // If it refuses, the caller must return the loans in the decision with
 // ReturnLoans.
-func (l *Limiter) Take(ctx context.Context, team string, tokens float64) Decision {
-	d := l.takeRecorded(ctx, team, tokens)
+func (l *Limiter) Admit(ctx context.Context, team string, r Request) Decision {
+	d := l.takeRecorded(ctx, team, &r)
 	if d.Allowed || l.holders == nil {
 		return d
 	}
 	// The borrower counts loanTTL from before the call, the lender from when it
 	// lends, so the loan expires here first.
 	expires := time.Now().Add(loanTTL)
-	result := l.holders.Borrow(ctx, team, tokens-d.Free, d.otherHolders)
+	r.Missing = r.Tokens - d.Free
+	result := l.holders.Borrow(ctx, team, r, d.otherHolders)
 	loans, borrowed := result.Loans, 0.0
 	for _, loan := range loans {
 		borrowed += loan.Tokens
@@ -118,32 +130,33 @@
 		d.Wait = min(d.Wait, result.Wait)
 	}
 	d.Loans, d.NoHolderAnswered = loans, !result.HolderAnswered && d.Share == 0
-	if d.Free+borrowed < tokens {
+	if borrowed < r.Missing {
 		return d
 	}
 	l.addLoan(team, borrowed, expires)
-	retried := l.take(team, tokens)
+	r.Missing = r.Tokens
+	retried := l.takeFor(team, &r)
 	if retried.Allowed {
 		retried.Loans = loans
 	}
 	return retried
 }
 
-// takeRecorded is take, but waits for the checkpoint that the tokens need.
-func (l *Limiter) takeRecorded(ctx context.Context, team string, tokens float64) Decision {
-	d := l.take(team, tokens)
+// takeRecorded is takeFor, but waits for the checkpoint that the tokens need.
+func (l *Limiter) takeRecorded(ctx context.Context, team string, r *Request) Decision {
+	d := l.takeFor(team, r)
 	if d.Allowed || !d.Unrecorded {
 		return d
 	}
 	timeout := time.NewTimer(recordWait)
 	defer timeout.Stop()
 	for d.Unrecorded && d.record.wait(ctx, timeout.C) {
-		d = l.take(team, tokens)
+		d = l.takeFor(team, r)
 	}
 	return d
 }
 
-func (l *Limiter) take(team string, tokens float64) Decision {
+func (l *Limiter) takeFor(team string, r *Request) Decision {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -152,17 +165,21 @@
 		return Decision{Allowed: true}
 	}
 	q.expire(l.window(), now)
-	d := Decision{Share: q.share, Free: q.free(l.window(), now) + q.borrowedTokens(), otherHolders: q.otherHolders}
-	if q.take(tokens, l.window(), now) {
+	l.countDemand(q, r, now)
+	free, borrowed := q.free(l.window(), now), q.borrowedTokens()
+	own := Request{Ask: r.Ask, Missing: r.Tokens - borrowed}
+	room := l.room(q, &own, false, now)
+	d := Decision{Share: q.share, Free: min(free, room) + borrowed, otherHolders: q.otherHolders}
+	if d.Free >= r.Tokens && q.take(r.Tokens, l.window(), now) {
 		d.Allowed = true
-		l.countTowardCheckpoint(q, tokens, now)
+		l.countTowardCheckpoint(q, r.Tokens, now)
 		return d
 	}
-	if unspent := q.unspent(l.window(), now); unspent > q.free(l.window(), now) {
+	if room > free {
 		d.Unrecorded, d.record = true, l.newRecordWaiter()
-		l.wantRecord(q, min(tokens, unspent))
+		l.wantRecord(q, min(r.Tokens, room))
 	}
-	d.Wait = q.wait(tokens, l.window(), now)
+	d.Wait = q.wait(r.Tokens, l.window(), now)
 	return d
 }
 
@@ -237,48 +254,58 @@
 // time that a borrower has for the call.
 const lendWait = 40 * time.Millisecond
 
-// Lend lends up to tokens of a team to another instance. If it lends less, wait is
-// the estimated time until it has the rest. holder is false if this instance holds
-// no share of the allowance, or does not know yet that it does.
+// Lend is LendTo for a request of which only the tokens are known.
 func (l *Limiter) Lend(ctx context.Context, team string, tokens float64) (lent float64, wait time.Duration, holder bool) {
-	lent, wait, holder, record := l.lend(team, tokens)
+	result := l.LendTo(ctx, team, NewRequest(admission.Ask{Tokens: tokens}))
+	return result.Tokens, result.Wait, result.Holder
+}
+
+// LendTo lends tokens of a team to a request at another instance, at most those that it misses.
+func (l *Limiter) LendTo(ctx context.Context, team string, r Request) LendResult {
+	result, record := l.lendFor(team, &r)
 	if record == nil {
-		return lent, wait, holder
+		return result
 	}
 	timeout := time.NewTimer(lendWait)
 	defer timeout.Stop()
+	lent := result.Tokens
 	for record != nil && record.wait(ctx, timeout.C) {
-		more := 0.0
-		more, wait, holder, record = l.lend(team, tokens-lent)
-		lent += more
+		r.Missing -= result.Tokens
+		result, record = l.lendFor(team, &r)
+		lent += result.Tokens
 	}
-	return lent, wait, holder
+	result.Tokens = lent
+	return result
 }
 
-// lend is Lend without a wait. record is set if the rest is free, but lacks a record in the store.
-func (l *Limiter) lend(team string, tokens float64) (lent float64, wait time.Duration, holder bool, record *recordWaiter) {
+// lendFor is LendTo without a wait. The waiter is set if the rest is free, but lacks a record in the
+// store.
+func (l *Limiter) lendFor(team string, r *Request) (LendResult, *recordWaiter) {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	q, ok := l.quotas[team]
 	if !ok || q.share == 0 {
-		return 0, 0, false, nil
+		return LendResult{}, nil
 	}
 	q.expire(l.window(), now)
-	lent = max(0, min(tokens, q.free(l.window(), now)))
+	l.countDemand(q, r, now)
+	room := l.room(q, r, false, now)
+	lent := max(0, min(r.Missing, room, q.free(l.window(), now)))
 	if lent > 0 {
 		// The borrower may spend the tokens as late as at the end of the loan.
 		q.spend(lent, now.Add(loanTTL))
 		l.countTowardCheckpoint(q, lent, now)
 	}
-	rest := tokens - lent
+	rest := r.Missing - lent
 	if rest <= 0 {
-		return lent, 0, true, nil
+		return LendResult{Holder: true, Tokens: lent}, nil
 	}
-	if unspent := q.unspent(l.window(), now); unspent > 0 {
+	var record *recordWaiter
+	if left := room - lent; left > 0 {
 		waiter := l.newRecordWaiter()
 		record = &waiter
-		l.wantRecord(q, min(rest, unspent))
+		l.wantRecord(q, min(rest, left))
 	}
-	return lent, q.wait(rest, l.window(), now), true, record
+	return LendResult{Holder: true, Tokens: lent, Wait: q.wait(rest, l.window(), now)}, record
 }
--- a/internal/tokenquota/limiter_test.go
+++ b/internal/tokenquota/limiter_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/jacinthbend/jacinthbend/internal/admission"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 )
 
@@ -29,25 +30,26 @@
 	self int
 }
 
-func (c groupClient) Borrow(_ context.Context, team string, tokens float64, holders []string) BorrowResult {
+func (c groupClient) Borrow(_ context.Context, team string, r Request, holders []string) BorrowResult {
 	var got BorrowResult
 	// Instances ask holders in random order.
 	for _, i := range rand.New(rand.NewPCG(1, uint64(c.answers))).Perm(len(holders)) {
 		name := holders[i]
-		if tokens <= 0 {
+		if r.Missing <= 0 {
 			break
 		}
-		lent, _, holder := c.limiterOf(name).Lend(context.Background(), team, tokens)
-		if c.answers++; lent > 0 && (c.dropEvery == 0 || c.answers%c.dropEvery != 0) {
-			got.Loans = append(got.Loans, Loan{name, lent})
-			tokens -= lent
+		result := c.limiterOf(name).LendTo(context.Background(), team, r)
+		r.Counted = r.Counted || result.Holder
+		if c.answers++; result.Tokens > 0 && (c.dropEvery == 0 || c.answers%c.dropEvery != 0) {
+			got.Loans = append(got.Loans, Loan{name, result.Tokens})
+			r.Missing -= result.Tokens
 		}
-		got.HolderAnswered = got.HolderAnswered || holder
+		got.HolderAnswered = got.HolderAnswered || result.Holder
 	}
 	return got
 }
 
-func (unreachableHolders) Borrow(context.Context, string, float64, []string) BorrowResult {
+func (unreachableHolders) Borrow(context.Context, string, Request, []string) BorrowResult {
 	return BorrowResult{}
 }
 
@@ -103,6 +105,12 @@
 	return g
 }
 
+// take is takeFor for a request of which only the tokens are known.
+func (l *Limiter) take(team string, tokens float64) Decision {
+	r := NewRequest(admission.Ask{Tokens: tokens})
+	return l.takeFor(team, &r)
+}
+
 // take spends tokens, and returns the loans if it is refused.
 func take(l *Limiter, tokens float64) Decision {
 	d := l.Take(context.Background(), "t", tokens)
--- a/internal/tokenquota/loan.go
+++ b/internal/tokenquota/loan.go
@@ -23,9 +23,9 @@
 
 // HolderClient calls the instances that hold shares of an allowance.
 type HolderClient interface {
-	// Borrow asks the holders for tokens of a team, one after the other, until
-	// there are enough.
-	Borrow(ctx context.Context, team string, tokens float64, holders []string) BorrowResult
+	// Borrow asks the holders for the tokens that a request misses, one after the
+	// other, until there are enough.
+	Borrow(ctx context.Context, team string, r Request, holders []string) BorrowResult
 	// Return gives back loans that were not spent. Tokens that do not arrive
 	// count as spent for a window.
 	Return(ctx context.Context, team string, loans []Loan) error
--- a/internal/tokenquota/team_quota.go
+++ b/internal/tokenquota/team_quota.go
@@ -46,6 +46,8 @@
 	// borrowed are the amounts borrowed from others, with the time at which
 	// they expire.
 	borrowed []timedTokens
+	// contention decides who gets what is left of the share.
+	contention contention
 }
 
 // timedTokens is a number of tokens with a time.
