Let requests wait for booked tokens within their objective or deadline

Cause: a request over its team's rate was refused at once, also if its tokens came free some milliseconds later, and its caller came back on a new connection.

Change: a request whose tokens are booked waits in its instance if they come within half of its objective, or, if its caller could not come back within a third of its time, within 0.6 of the time until it leaves. Routes without an objective wait never. At most 256 requests and 1/32 of the memory limit wait; in the order of urgency, objective left and size, the last are refused when the place is used up, with the time of their booking. A disconnect cancels the booking; an instance that is about to exit refuses those that wait. Retry-After is rounded up to 10 ms. The log of a refusal has retry_after and booked, a request that came back is logged with what it was promised; metrics jacinthbend_bookings_total, jacinthbend_refused_again_total, jacinthbend_admission_waiting.

--- a/internal/gateway/env_test.go
+++ b/internal/gateway/env_test.go
@@ -83,6 +83,8 @@
 	{Name: "resume", Prefix: "/resume/", Kind: fleet.Streaming, MaxAttempts: 2, Resumable: true},
 	{Name: "public", Prefix: "/public/", Kind: fleet.Idempotent, MaxAttempts: 1, Public: true},
 	{Name: "model", Prefix: "/model/", Kind: fleet.Streaming, MaxAttempts: 2, Resumable: true, Targets: []fleet.Target{{Service: "engines"}}},
+	{Name: "quick", Prefix: "/quick/", Kind: fleet.Idempotent, MaxAttempts: 1, Objective: 100 * time.Millisecond},
+	{Name: "slow", Prefix: "/slow/", Kind: fleet.Idempotent, MaxAttempts: 1, Objective: 4 * time.Second},
 	{Name: "nowhere", Prefix: "/nowhere/", Kind: fleet.Idempotent, MaxAttempts: 1, Targets: []fleet.Target{{Service: "none"}}},
 }
 
@@ -312,14 +314,19 @@
 
 // send sends a request on a new connection and returns the response.
 func (env *testEnv) send(method, path, body string, header ...string) response {
-	check := is.New(env.t)
-	c, err := net.Dial("tcp", env.addr)
-	check.NoErr(err)
+	c := env.dial()
 	defer func() { _ = c.Close() }()
 	env.writeRequest(c, method, path, body, header...)
 	return env.readResponse(c, method)
 }
 
+// dial opens a connection of a caller.
+func (env *testEnv) dial() net.Conn {
+	c, err := net.Dial("tcp", env.addr)
+	is.New(env.t).NoErr(err)
+	return c
+}
+
 func (env *testEnv) writeRequest(c net.Conn, method, path, body string, header ...string) {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: h.example\r\n", method, path)
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -44,8 +44,11 @@
 	// MaxBufferedBytes limits the bytes of responses that all requests together
 	// buffer; 0 stands for defaultMaxBufferedBytes.
 	MaxBufferedBytes int64
-	Logger           *zap.Logger
-	Stats            *Stats
+	// MaxWaitingBytes limits the bytes of the requests that wait for a team's quota; 0
+	// stands for defaultMaxWaitingBytes.
+	MaxWaitingBytes int64
+	Logger          *zap.Logger
+	Stats           *Stats
 }
 
 // Gateway serves callers' requests. It is safe for concurrent use.
@@ -53,6 +56,7 @@
 	Options
 	table   currentTable
 	buffers *bufferBudget
+	waiting *quotaQueue
 	// exitAt is when a draining instance exits, in Unix nanoseconds; requests with a
 	// later deadline are refused. It is 0 until SetExitTime is called.
 	exitAt atomic.Int64
@@ -69,7 +73,8 @@
 
 // New returns a gateway that refuses all requests until Update is called.
 func New(o Options) *Gateway {
-	g := &Gateway{Options: o, buffers: newBufferBudget(o.MaxBufferedBytes)}
+	g := &Gateway{Options: o, buffers: newBufferBudget(o.MaxBufferedBytes), waiting: newQuotaQueue(o.MaxWaitingBytes)}
+	g.Stats.watchWaiting(g.waiting)
 	if g.Quarantine == nil {
 		g.Quarantine = quarantine.NewTable()
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -15,15 +15,20 @@
 // suspects returns what the request may have in common with others that crash upstreams.
 func (r *request) suspects() []quarantine.Suspect {
 	if r.suspectList == nil {
-		id := quarantine.Identity{Method: r.method, Host: r.host, URI: r.uri, Body: r.body, Prompt: r.attrs.Prompt}
-		if r.team != nil {
-			id.Team = r.team.Name
-		}
-		r.suspectList = id.Suspects()
+		r.suspectList = r.identity().Suspects()
 	}
 	return r.suspectList
 }
 
+// identity returns what tells the request apart from others, whatever its id.
+func (r *request) identity() quarantine.Identity {
+	id := quarantine.Identity{Method: r.method, Host: r.host, URI: r.uri, Body: r.body, Prompt: r.attrs.Prompt}
+	if r.team != nil {
+		id.Team = r.team.Name
+	}
+	return id
+}
+
 // refuseIfQuarantined ends a request that contains what crashes upstreams, and reports
 // whether it did.
 func (r *request) refuseIfQuarantined() bool {
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -33,8 +33,11 @@
 	r.c.Data(answer.Status, "application/json", body)
 }
 
-// formatRetryAfter formats d as seconds with two decimals, at least 0.01.
+// formatRetryAfter formats d as seconds with two decimals, rounded up: who comes back too early
+// is refused again.
 func formatRetryAfter(d time.Duration) string {
 	const digits = 2
-	return strconv.FormatFloat(max(0.01, d.Seconds()), 'f', digits, 64)
+	const unit = 10 * time.Millisecond
+	rounded := max(unit, (d+unit-1)/unit*unit)
+	return strconv.FormatFloat(rounded.Seconds(), 'f', digits, 64)
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -73,6 +73,8 @@
 	// spent waiting for loads and for rate limits of engines.
 	firstSentAt, firstByteAt, lastEventAt time.Time
 	loadWait, rateWait                    time.Duration
+	// quotaWait is the time spent waiting for tokens of the team's quota.
+	quotaWait time.Duration
 	// estimatedTTFT is the estimated time to the first token at the upstream of
 	// the last attempt.
 	estimatedTTFT time.Duration
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -122,7 +122,9 @@
 		}
 	}
 	if err := r.chargeQuota(ctx); err != nil {
-		r.refuse(err)
+		if !r.endIfDone(ctx) {
+			r.refuse(err)
+		}
 		return
 	}
 	r.g.RetryBudget.CountRequest(r.query.Service)
@@ -235,6 +237,9 @@
 	if r.attrs.ResumeAfter != "" {
 		fields = append(fields, zap.String("resumes", r.attrs.Resumes), zap.String("resume_after", r.attrs.ResumeAfter))
 	}
+	if r.quotaWait > 0 {
+		fields = append(fields, zap.Duration("quota_wait", r.quotaWait))
+	}
 	if !r.firstSentAt.IsZero() {
 		fields = append(fields, zap.Duration("sent_after", r.firstSentAt.Sub(r.start)))
 	}
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -11,6 +11,9 @@
 	set                 *metrics.Set
 	requests, firstByte *metrics.Histogram
 	quarantined         *metrics.Counter
+	// refusedAgain counts requests that were refused for their team's rate, although their
+	// caller had been refused before.
+	refusedAgain *metrics.Counter
 }
 
 // NewStats registers the metrics in set.
@@ -20,6 +23,8 @@
 		requests:    set.NewHistogram("jacinthbend_gateway_request_seconds"),
 		firstByte:   set.NewHistogram("jacinthbend_gateway_first_byte_seconds"),
 		quarantined: set.NewCounter("jacinthbend_gateway_quarantined_total"),
+
+		refusedAgain: set.NewCounter("jacinthbend_refused_again_total"),
 	}
 }
 
@@ -34,3 +39,8 @@
 func (s *Stats) countAttempt(outcome string) {
 	s.set.GetOrCreateCounter(fmt.Sprintf("jacinthbend_gateway_attempts_total{outcome=%q}", outcome)).Inc()
 }
+
+// watchWaiting registers the number of requests that wait in q.
+func (s *Stats) watchWaiting(q *quotaQueue) {
+	s.set.NewGauge("jacinthbend_admission_waiting", func() float64 { return float64(q.len()) })
+}
--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -115,6 +115,7 @@
 	e.pool = upstream.NewPool(s.Instance, s.DataCentre, upstream.Bounds{ColdOver: s.Bounds.ColdOver, ColdSlack: s.Bounds.ColdSlack, DrainTime: s.DrainTime()})
 	e.exchange.SetIdleLimit(e.pool.IdleLimit)
 	e.quota = tokenquota.NewLimiter(s.Instance, tokenquota.Bounds{Window: s.QuotaWindow(), Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack}, e.entryClient)
+	e.quota.RegisterMetrics(e.metrics)
 	if !s.FirstStart {
 		e.quota.Resume(tokenquota.Unread, tokenquota.Checkpoint{})
 	}
@@ -125,7 +126,7 @@
 		Origins:    e.origins,
 		Quarantine: crashes, Dialect: dialect, Pool: e.pool, UpstreamClient: e.exchange, Quota: e.quota,
 		RetryBudget: retrybudget.New(retrybudget.Bounds{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.RetryWindow()}),
-		Loader:      e.agentClient, Lifecycle: e.lifecycle, DataCentre: s.DataCentre, MaxBufferedBytes: s.MaxBufferedBytes(), Logger: e.logger, Stats: gateway.NewStats(e.metrics),
+		Loader:      e.agentClient, Lifecycle: e.lifecycle, DataCentre: s.DataCentre, MaxBufferedBytes: s.MaxBufferedBytes(), MaxWaitingBytes: s.MaxWaitingBytes(), Logger: e.logger, Stats: gateway.NewStats(e.metrics),
 	})
 	e.follower = topicwatch.NewFollower(topicwatch.Options{
 		Source: topicwatch.NewRelayedSource(e.store, e.entryClient, func(t topicwatch.Name, at time.Time) {
--- a/internal/settings/managed.go
+++ b/internal/settings/managed.go
@@ -136,6 +136,13 @@
 // RetryWindow is the window over which the retries at a service are counted.
 func (s *Managed) RetryWindow() time.Duration { return seconds(s.Bounds.RetryWindowS) }
 
+// maxWaitingShare is the share of the memory limit that requests may take which wait for a team's
+// quota: 256 prompts of 9 KB and their copies on the smallest machines, of 144 MB.
+const maxWaitingShare = 32
+
+// MaxWaitingBytes is how many bytes the requests may hold that wait for a team's quota.
+func (s *Managed) MaxWaitingBytes() int64 { return int64(s.MemoryMB) << 20 / maxWaitingShare }
+
 // QuotaWindow is the window over which a team's tokens are counted.
 func (s *Managed) QuotaWindow() time.Duration { return seconds(s.Bounds.QuotaWindowS) }
 
