Make the obstacles of upstreams a closed set, decided on in one place

Cause: Unavailable had ten optional fields, which run.go told apart at three places; a new one, or an unusual combination, would be missed.

Change: upstream.Obstacle is one of Unusable, VersionGone, AtLimit, LoadPending, Overloaded and Changed, each with its own fields. gateway.overcome decides what becomes of the request, after Pick and after Begin. Begin returns Changed where the next Pick chooses anew. Behaviour is the same.

--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -35,11 +35,11 @@
 
 // queue waits for a place within the rate limit of an engine, if the request may wait that
 // long, and reports whether it has one.
-func (r *request) queue(ctx context.Context, u upstream.Unavailable) bool {
-	d := waitpolicy.Decide(time.Now(), r.waiting(), waitpolicy.Rate, u.RetryAfter)
+func (r *request) queue(ctx context.Context, o upstream.AtLimit) bool {
+	d := waitpolicy.Decide(time.Now(), r.waiting(), waitpolicy.Rate, o.RetryAfter)
 	start := time.Now()
 	defer func() { r.rateWait += time.Since(start) }()
-	return d.Wait > 0 && r.takePermit(ctx, u.Queue, d.Wait)
+	return d.Wait > 0 && r.takePermit(ctx, o.Queue, d.Wait)
 }
 
 // wait waits for d and reports whether ctx has not ended.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -43,23 +43,13 @@
 		r.query.ResponseStarted = r.writer.started
 		choice, unavailable := r.g.Pool.Pick(&r.query)
 		if choice == nil {
-			r.requestReplica(unavailable.Replica)
-			if unavailable.VersionGone && r.possibleRuns == 0 {
-				r.refuse(errkind.New(errkind.StreamNotResumable, unavailable.Reason).WithRetryAfter(r.retryAfter(defaultRetryAfter)))
-				return
-			}
-			if unavailable.Overloaded && r.possibleRuns == 0 && r.fallback == nil {
-				r.refuse(errkind.New(errkind.UpstreamBusy, unavailable.Reason).WithRetryAfter(r.retryAfter(unavailable.RetryAfter)))
-				return
-			}
-			if unavailable.Queue == nil || !r.queue(waitCtx, unavailable) {
-				if r.waitForUpstream(waitCtx, unavailable) {
+			var again bool
+			if choice, again = r.overcome(waitCtx, unavailable); choice == nil {
+				if again {
 					continue
 				}
-				r.fail(unavailable.Reason, unavailable.RetryAfter)
 				return
 			}
-			choice = unavailable.Queue
 		}
 		r.requestReplica(choice.Replica)
 		if choice.NeedsLoad {
@@ -80,8 +70,7 @@
 		}
 		ticket, unavailable := r.g.Pool.Begin(choice, &r.query)
 		if ticket == nil {
-			if unavailable.RetryAfter > 0 && !r.waitForUpstream(waitCtx, unavailable) {
-				r.fail(unavailable.Reason, unavailable.RetryAfter)
+			if _, again := r.overcome(waitCtx, unavailable); !again {
 				return
 			}
 			continue
@@ -200,31 +189,6 @@
 	return waitpolicy.RetryAfter(r.waiting(), eta)
 }
 
-// waitForUpstream waits until an upstream may be available and reports whether to
-// pick again. It returns false at once if that time is unknown or too far off.
-func (r *request) waitForUpstream(ctx context.Context, u upstream.Unavailable) bool {
-	obstacle := waitpolicy.Rate
-	var loaded <-chan struct{}
-	if u.LoadPending {
-		obstacle, loaded = waitpolicy.Load, r.g.Pool.LoadProgress(r.query.Service, r.query.Model)
-	}
-	if waitpolicy.Decide(time.Now(), r.waiting(), obstacle, u.RetryAfter).Wait == 0 {
-		return false
-	}
-	wait := u.RetryAfter
-	if u.PollAfter > 0 {
-		wait = min(wait, u.PollAfter)
-	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-loaded:
-	case <-t.C:
-	}
-	return true
-}
-
 // allowDelivery reports whether the request may be sent to an upstream now. It
 // charges every delivery after the first to the service's retry budget.
 func (r *request) allowDelivery() bool {
--- a/internal/upstream/choice.go
+++ b/internal/upstream/choice.go
@@ -37,28 +37,3 @@
 	Replica *Choice
 	Demand  float64
 }
-
-// Unavailable tells why no upstream can take the request now.
-type Unavailable struct {
-	// Reason is a short text for logs and the response.
-	Reason string
-	// RetryAfter is the estimated time until an upstream is available; 0 means
-	// unknown.
-	RetryAfter time.Duration
-	// PollAfter, if set, is when to call Pick again before RetryAfter has
-	// passed.
-	PollAfter time.Duration
-	// VersionGone means that no upstream with the required software version is listed.
-	VersionGone bool
-	// LoadPending means that the request waits for a model to be loaded.
-	LoadPending bool
-	// Queue is an engine with the model whose rate limit has room after RetryAfter, or nil.
-	// Its agent can give the request a place.
-	Queue *Choice
-	// Overloaded means that the engines with the model cannot serve the request
-	// within its objective, so it should be refused rather than queued.
-	Overloaded bool
-	// Replica is another engine on which to load the model in the background,
-	// or nil.
-	Replica *Choice
-}
--- a/internal/upstream/cold_test.go
+++ b/internal/upstream/cold_test.go
@@ -59,8 +59,8 @@
 			p := newPoolFor(fmt.Sprintf("entry-%d", i), v)
 			c, unavailable := p.Pick(engineQuery("m", ""))
 			if c == nil {
-				check.True(unavailable.RetryAfter > 0)
-				time.Sleep(unavailable.RetryAfter)
+				check.True(unavailable.RetryAfter() > 0)
+				time.Sleep(unavailable.RetryAfter())
 				c, _ = p.Pick(engineQuery("m", ""))
 			}
 			check.True(c != nil)
--- a/internal/upstream/overload_test.go
+++ b/internal/upstream/overload_test.go
@@ -28,8 +28,8 @@
 			q.TokensIn, q.Urgency = prompt, i%3
 			c, unavailable := p.Pick(q)
 			if c == nil {
-				check.True(unavailable.Overloaded)
-				check.True(unavailable.RetryAfter > 0)
+				over, ok := unavailable.Obstacle.(Overloaded)
+				check.True(ok && over.RetryAfter > 0)
 				refused[q.Urgency]++
 				continue
 			}
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -33,28 +33,29 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.view == nil {
-		return nil, Unavailable{Reason: "no configuration received yet"}
+		return nil, unusable("no configuration received yet")
 	}
 	if q.VersionBound && !p.versionListed(q.Service, q.Version) {
-		return nil, Unavailable{Reason: "no upstream of the software version that began the stream is left", VersionGone: true}
+		return nil, Unavailable{Reason: "no upstream of the software version that began the stream is left", Obstacle: VersionGone{}}
 	}
 	if q.Model != "" {
 		return p.pickEngine(q, now)
 	}
 	candidates, wait := p.candidates(q, p.byService[q.Service], nil, now)
 	if len(candidates) == 0 {
-		return nil, noCandidate(wait)
+		return nil, noCandidate(wait, nil)
 	}
 	best := slices.MinFunc(candidates, compareDelay)
 	return best.choice(), Unavailable{}
 }
 
-// noCandidate tells why no upstream is usable; wait is when one may be used, or 0.
-func noCandidate(wait time.Duration) Unavailable {
+// noCandidate tells why no upstream is usable; wait is when one may be used, or 0, and queue the
+// engine that can keep a place until then, or nil.
+func noCandidate(wait time.Duration, queue *Choice) Unavailable {
 	if wait > 0 {
-		return Unavailable{Reason: "all usable upstreams are at their rate limits or want a pause", RetryAfter: wait}
+		return Unavailable{Reason: "all usable upstreams are at their rate limits or want a pause", Obstacle: AtLimit{RetryAfter: wait, Queue: queue}}
 	}
-	return Unavailable{Reason: "no usable upstream for the service"}
+	return unusable("no usable upstream for the service")
 }
 
 // candidates returns those of states that may take q now. wait is the shortest time until
@@ -177,25 +178,24 @@
 	choice, wait := p.pickLoad(q, now)
 	if coldWait > 0 && p.onlyRatesBind(loaded, now) && (choice == nil || choice.FromStore || coldWait <= choice.LoadTime) {
 		// The engines with the model have room sooner than another engine.
-		unavailable := noCandidate(coldWait)
-		unavailable.Queue = p.shortestQueue(q, hashes, now)
+		unavailable := noCandidate(coldWait, p.shortestQueue(q, hashes, now))
 		unavailable.Replica = p.replica(q, len(loaded), now)
 		return nil, unavailable
 	}
 	if choice == nil {
 		if wait = shorterWait(coldWait, wait); wait > 0 {
-			return nil, noCandidate(wait)
+			return nil, noCandidate(wait, nil)
 		}
-		return nil, Unavailable{Reason: "no engine can load the model"}
+		return nil, unusable("no engine can load the model")
 	}
 	if choice.FromStore && q.VersionBound {
 		// StoreLoads loads a model where it can be loaded soonest, which may be at another version.
-		return nil, Unavailable{Reason: "no engine of the software version that began the stream has the model"}
+		return nil, unusable("no engine of the software version that began the stream has the model")
 	}
 	if choice.FromStore {
 		// StoreLoads decides on loads from the weight store, not single
 		// requests.
-		return nil, Unavailable{Reason: "the model must be loaded from the weight store", RetryAfter: p.storeWait(q, choice.LoadTime, now), PollAfter: storePollInterval, LoadPending: true}
+		return nil, Unavailable{Reason: "the model must be loaded from the weight store", Obstacle: LoadPending{RetryAfter: p.storeWait(q, choice.LoadTime, now), PollAfter: storePollInterval}}
 	}
 	return choice, Unavailable{}
 }
@@ -241,7 +241,7 @@
 	}
 	choice.Replica = p.chooseReplica(q, best, len(withModel), now)
 	if over, wait := overloaded(q, best); over {
-		return nil, Unavailable{Reason: "the engines with the model are overloaded", RetryAfter: wait, Overloaded: true, Replica: choice.Replica}
+		return nil, Unavailable{Reason: "the engines with the model are overloaded", Obstacle: Overloaded{RetryAfter: wait}, Replica: choice.Replica}
 	}
 	return choice, Unavailable{}
 }
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -88,7 +88,8 @@
 	check.True(c.NeedsLoad)
 	c, unavailable := newPool(v).Pick(engineQuery("r", "")) // only in the weight store
 	check.True(c == nil)
-	check.True(unavailable.LoadPending && unavailable.RetryAfter >= 6*time.Second && unavailable.PollAfter > 0)
+	pending, ok := unavailable.Obstacle.(LoadPending)
+	check.True(ok && pending.RetryAfter >= 6*time.Second && pending.PollAfter > 0)
 }
 
 // TestLoadInProgress guards against a second load of a model that another
--- a/internal/upstream/rate_limit_test.go
+++ b/internal/upstream/rate_limit_test.go
@@ -39,7 +39,7 @@
 							q := &Query{Service: "plain", Tried: map[string]bool{}}
 							c, unavailable := p.Pick(q)
 							if c == nil {
-								check.True(unavailable.RetryAfter > 0)
+								check.True(unavailable.RetryAfter() > 0)
 								continue
 							}
 							ticket, _ := p.Begin(c, q)
@@ -121,9 +121,10 @@
 					return
 				}
 				check.True(c == nil)
-				check.Equal(unavailable.RetryAfter, row.permitIn)
-				check.Equal(unavailable.Queue.Upstream.ID, row.queue)
-				check.True(!unavailable.LoadPending)
+				limit, ok := unavailable.Obstacle.(AtLimit)
+				check.True(ok) // not LoadPending
+				check.Equal(limit.RetryAfter, row.permitIn)
+				check.Equal(limit.Queue.Upstream.ID, row.queue)
 			})
 		})
 	}
--- a/internal/upstream/ticket.go
+++ b/internal/upstream/ticket.go
@@ -26,15 +26,15 @@
 	defer p.mu.Unlock()
 	s, ok := p.states[c.Upstream.ID]
 	if !ok || !p.usableFor(q, s, now) {
-		return nil, Unavailable{Reason: "the upstream is no longer usable"}
+		return nil, changed("the upstream is no longer usable")
 	}
 	if s.said.pause(now) > 0 {
 		// The next Pick chooses another one.
-		return nil, Unavailable{Reason: "the upstream wants no requests for a while"}
+		return nil, changed("the upstream wants no requests for a while")
 	}
 	if wait, needsPermit := p.sendWait(s, now); !c.Permitted && (wait > 0 || needsPermit) {
 		// If it has turned cold since Pick, the next Pick asks for a permit.
-		return nil, Unavailable{Reason: "the upstream is at its rate limit", RetryAfter: wait}
+		return nil, atLimit(wait)
 	}
 	s.sends.Add(now)
 	s.lastSent = now
--- a/internal/upstream/version_test.go
+++ b/internal/upstream/version_test.go
@@ -104,9 +104,10 @@
 				got = c.Upstream.ID
 			}
 			check.Equal(got, row.want)
-			check.Equal(unavailable.VersionGone, row.gone)
-			if unavailable.Queue != nil {
-				check.Equal(unavailable.Queue.Upstream.Version, "v1")
+			_, gone := unavailable.Obstacle.(VersionGone)
+			check.Equal(gone, row.gone)
+			if limit, ok := unavailable.Obstacle.(AtLimit); ok && limit.Queue != nil {
+				check.Equal(limit.Queue.Upstream.Version, "v1")
 			}
 			if c != nil && c.Replica != nil {
 				check.Equal(c.Replica.Upstream.Version, "v1")
