Look at the schedule of a share only if its reserve could bind; rules of admission

Cause: a team within its rate has spent more than half of its window, and each of its requests computed the schedule of the share. In an outage of the store, bookings counted on the whole share, of which less is given out. A holder of an earlier version, which has no bookings, would not have been asked for loans for a second.

Change: the schedule is computed only if something is booked, or less is left than the reserve can take. Demand is summed without a copy. Bookings in an outage of the store count on what is given out then. A request waits at most twice.

--- a/internal/admission/ask.go
+++ b/internal/admission/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"time"
 )
 
@@ -18,8 +19,9 @@
 }
 
 const (
-	// maxClass is the class of the largest requests, of 2^30 tokens or more.
-	maxClass = 30
+	// maxClass is the class of the largest requests, of maxTokens or more.
+	maxClass  = 30
+	maxTokens = 1 << maxClass
 	// maxUrgency is the least urgent priority that is told apart, as for engines.
 	maxUrgency = 9
 )
@@ -29,7 +31,7 @@
 	if a.Tokens <= 1 {
 		return 0
 	}
-	return min(maxClass, int(math.Ceil(math.Log2(a.Tokens))))
+	return min(maxClass, bits.Len64(uint64(math.Ceil(min(a.Tokens, maxTokens)))-1))
 }
 
 func (a Ask) urgency() int { return min(max(a.Urgency, 0), maxUrgency) }
--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -12,10 +12,10 @@
 	// The sizes of one kind of request differ by less, and its largest must not stay behind the
 	// others.
 	smallerFactor = 4
-	// MaxReserve is the largest part of a share that is reserved for small requests, and
+	// maxReserve is the largest part of a share that is reserved for small requests, and
 	// maxReserveInAll the largest that is reserved for small and more urgent ones together. So
 	// the others always have the rest, and none is shut out.
-	MaxReserve      = 0.25
+	maxReserve      = 0.25
 	maxReserveInAll = 0.75
 )
 
@@ -68,50 +68,45 @@
 	return append(cells, c)
 }
 
-// perWindow returns the demand of a window by class and urgency.
-func (d *Demand) perWindow(now, window time.Duration) []demandCell {
+// inWindow returns the tokens of the requests in a window that come before a: those that are much
+// smaller, and more urgent ones that are not larger.
+func (d *Demand) inWindow(a Ask, now, window time.Duration) (small, urgent float64) {
 	newest := slotNumber(now, window)
-	var all, recent []demandCell
-	for _, s := range d.slots {
+	var recentSmall, recentUrgent float64
+	for i := range d.slots {
+		s := &d.slots[i]
 		if s.number <= newest-demandSlots || s.number > newest {
 			continue
 		}
+		recent := s.number > newest-recentSlots
 		for _, c := range s.cells {
-			all = addCell(all, c)
-			if s.number > newest-recentSlots {
-				c.requests *= demandSlots / recentSlots
-				c.tokens *= demandSlots / recentSlots
-				recent = addCell(recent, c)
+			switch {
+			case c.class <= a.class() && c.urgency < a.urgency():
+				urgent += c.tokens
+				if recent {
+					recentUrgent += c.tokens
+				}
+			case smallerFactor*c.tokens <= c.requests*a.Tokens:
+				small += c.tokens
+				if recent {
+					recentSmall += c.tokens
+				}
 			}
 		}
 	}
-	for i := range all {
-		for _, c := range recent {
-			if c.class == all[i].class && c.urgency == all[i].urgency && c.tokens > all[i].tokens {
-				all[i].requests, all[i].tokens = c.requests, c.tokens
-			}
-		}
-	}
-	return all
+	const windows = demandSlots / recentSlots
+	return max(small, windows*recentSmall), max(urgent, windows*recentUrgent)
 }
 
 // ReserveRate returns how many tokens of a share a request must leave for each second until
-// they become free again: what much smaller requests ask for, at most MaxReserve, and what more
+// they become free again: what much smaller requests ask for, at most maxReserve, and what more
 // urgent ones ask for that are not larger. most bounds what is reserved in all. ahead tells that
 // the request wants to have tokens later, when others may ask for more than now.
 func (d *Demand) ReserveRate(a Ask, share, most float64, ahead bool, now, window time.Duration) float64 {
-	small, urgent := 0.0, 0.0
-	for _, c := range d.perWindow(now, window) {
-		switch {
-		case c.class <= a.class() && c.urgency < a.urgency():
-			urgent += c.tokens
-		case smallerFactor*c.tokens <= c.requests*a.Tokens:
-			small += c.tokens
-		}
-	}
+	small, urgent := d.inWindow(a, now, window)
 	if ahead {
 		small *= aheadFactor
 	}
-	sum := min(min(small, MaxReserve*share)+urgent, maxReserveInAll*share)
+	sum := min(min(small, maxReserve*share)+urgent, maxReserveInAll*share)
 	return min(most/(window+reserveAhead).Seconds(), sum/window.Seconds())
 }
--- a/internal/admission/schedule.go
+++ b/internal/admission/schedule.go
@@ -35,6 +35,9 @@
 	}
 }
 
+// Lower removes tokens that will not be given out.
+func (s *Schedule) Lower(tokens float64) { s.left[0] -= tokens }
+
 // Withhold removes tokens that are booked from at on.
 func (s *Schedule) Withhold(at time.Duration, tokens float64) {
 	if i := max(0, int64(at/Step)-s.first); i < int64(len(s.left)) {
@@ -53,6 +56,11 @@
 // meanwhile: larger requests would take them first, and small ones ask a holder of many at random.
 const reserveAhead = time.Second
 
+// Reserve returns the most that is reserved at a rate, at the end of the window.
+func Reserve(rate float64, window time.Duration) float64 {
+	return rate * (window + reserveAhead).Seconds()
+}
+
 // reserved returns what is reserved at step i at a rate: the demand until reserveAhead after it.
 func (s *Schedule) reserved(i int, rate float64) float64 {
 	return rate * (time.Duration(i)*Step + reserveAhead).Seconds()
--- a/internal/entryrpc/quota_client.go
+++ b/internal/entryrpc/quota_client.go
@@ -75,7 +75,7 @@
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	if err := c.peers.Call(ctx, m.Addr, pathBook, bookRequest{Team: team, quotaAsk: newQuotaAsk(a), Returned: returned}, &resp); err != nil {
-		c.markUnavailable(m.Addr)
+		// The holder may be of a version without bookings, and still lend.
 		return tokenquota.BookResult{}, errors.Wrapf(err, "book %.0f tokens at %s", a.Tokens, holder)
 	}
 	return tokenquota.BookResult{Holder: resp.Holder, Booked: resp.Booked, Wait: time.Duration(resp.WaitMS) * time.Millisecond, Promised: resp.promised()}, nil
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -22,7 +22,7 @@
 	q := tokenquota.NewRequest(r.quotaAsk())
 	d := r.takeTokens(ctx, q)
 	promised := d.Promised
-	for r.mayWait(d) {
+	for waits := 0; waits < maxQuotaWaits && r.mayWait(d); waits++ {
 		r.returnLoans(d.Loans)
 		d.Loans = nil
 		began := time.Now()
@@ -127,6 +127,9 @@
 }
 
 const (
+	// maxQuotaWaits bounds how often a request waits for tokens. It finds them after the first
+	// time unless the holder of its booking is lost.
+	maxQuotaWaits = 2
 	// quotaRetryShare is the largest share of its remaining time that a request
 	// spends on retries while no instance that holds its team's quota answers.
 	quotaRetryShare    = 0.2
--- a/internal/tokenquota/booking.go
+++ b/internal/tokenquota/booking.go
@@ -114,6 +114,10 @@
 	result := BookResult{Holder: true, Promised: promised}
 	q.contention.ledger.Remove(a.Digest)
 	s := l.schedule(q, now)
+	if l.notWritten {
+		// What is recorded of the spending gets less until the store is back.
+		s.Lower((1 - q.unrecorded(q.listed)) * q.share)
+	}
 	q.contention.ledger.Withhold(s, 0)
 	s.Sum()
 	at, found := s.Earliest(a.Tokens+bookingMargin, l.reserveRate(q, a, true, now))
--- a/internal/tokenquota/booking_test.go
+++ b/internal/tokenquota/booking_test.go
@@ -91,14 +91,17 @@
 		g, r, d := bookedRequest(t)
 		check.True(!d.Allowed && d.Booked && !d.Promised.Known)
 		end := time.Now().Add(d.Wait)
-		for time.Now().Before(end) {
-			early := g.limiters[2].Admit(t.Context(), "t", r)
-			check.True(!early.Allowed && early.Booked && early.Promised.Known)
-			check.True(early.Wait <= time.Until(end))
-			_ = take(g.limiters[1], 100) // others take what is free
+		for time.Now().Before(end.Add(admission.BookingTTL / 2)) {
+			if time.Now().Before(end) {
+				early := g.limiters[2].Admit(t.Context(), "t", r)
+				check.True(!early.Allowed && early.Booked && early.Promised.Known)
+				check.True(early.Wait <= time.Until(end))
+			}
+			for take(g.limiters[1], 100).Allowed {
+				continue // others take all that is free
+			}
 			time.Sleep(20 * time.Millisecond)
 		}
-		time.Sleep(admission.BookingTTL / 2)
 		back := g.limiters[2].Admit(t.Context(), "t", r)
 		check.True(back.Allowed && back.Promised.Kept)
 		check.True(!g.limiters[2].Admit(t.Context(), "t", r).Promised.Kept) // only once
@@ -154,7 +157,11 @@
 		check := is.New(t)
 		g := newLimiterGroup(8, 0, Bounds{Window: 8 * time.Second}, teamConfig(100, 200))
 		withStore(t, g.limiters...)
-		check.True(take(g.limiters[0], 500).Allowed)
+		for _, l := range g.limiters {
+			if l.quotas["t"].share > 0 {
+				check.True(take(l, 125).Allowed)
+			}
+		}
 		for i, l := range g.limiters {
 			l.holders = lostBookAnswers{groupClient{g, i}}
 			d := l.Admit(t.Context(), "t", NewRequest(admission.Ask{Tokens: 501, Digest: uint64(i + 1), Longest: time.Second}))
@@ -164,3 +171,22 @@
 		}
 	})
 }
+
+// TestBookingInStoreOutage guards against a time at which nothing is free, since the store takes no
+// checkpoint and an instance gives out less than its share.
+func TestBookingInStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		l := NewLimiter("entry-0", testBounds, nil)
+		l.Configure(teamConfig(29000, 68873), []string{"entry-0"})
+		l.NotWritten()
+		for l.Take(t.Context(), "t", 10000).Allowed {
+			time.Sleep(50 * time.Millisecond)
+		}
+		r := NewRequest(admission.Ask{Tokens: 30000, Digest: 17, Longest: 9 * time.Second})
+		d := l.Admit(t.Context(), "t", r)
+		check.True(d.Booked && d.Wait > time.Second)
+		time.Sleep(d.Wait)
+		check.True(l.Admit(t.Context(), "t", r).Allowed)
+	})
+}
--- a/internal/tokenquota/contention.go
+++ b/internal/tokenquota/contention.go
@@ -13,10 +13,6 @@
 	ledger admission.Ledger
 }
 
-// fullReserve is the part of a share from which on requests find their tokens free without a look
-// at the demand.
-const fullReserve = 0.75
-
 // sinceEpoch returns the time on the grid of schedules.
 func (l *Limiter) sinceEpoch(t time.Time) time.Duration { return t.Sub(l.epoch) }
 
@@ -37,17 +33,19 @@
 // bookings and for the requests that come before it. due tells that its own booking is due.
 func (l *Limiter) room(q *teamQuota, r *Request, due bool, now time.Time) float64 {
 	unspent := q.unspent(l.window(), now)
-	booked := q.contention.ledger.Booked()
-	if q.share == 0 || l.ignoreReserve && !booked || !booked && unspent-r.Missing >= fullReserve*q.share {
+	if q.share == 0 {
 		return unspent
 	}
-	s := l.schedule(q, now)
 	except, rate := uint64(0), 0.0
 	if due {
 		except = r.Digest
 	} else if !l.ignoreReserve {
 		rate = l.reserveRate(q, r.Ask, false, now)
 	}
+	if !q.contention.ledger.Booked() && unspent-r.Missing >= admission.Reserve(rate, l.window()+loanTTL) {
+		return unspent
+	}
+	s := l.schedule(q, now)
 	q.contention.ledger.Withhold(s, except)
 	s.Sum()
 	return s.Room(rate)
