Keep room for bookings among remembered refusals; test a team within its rate

Change: a refusal without a booking gives way to newer ones. A replay of a team's usual callers at its rate, over 1, 4 and 28 instances.

--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -30,11 +30,16 @@
 	promises []Promise
 }
 
-// Add adds a promise, in place of one for the same request. It reports whether there was room.
+// Add adds a promise, in place of one for the same request. It reports whether there was room:
+// a promise without a booking gives way to newer ones.
 func (l *Ledger) Add(p Promise) bool {
 	l.Remove(p.Digest)
 	if len(l.promises) >= maxPromises {
-		return false
+		i := slices.IndexFunc(l.promises, func(p Promise) bool { return p.Tokens == 0 })
+		if i < 0 {
+			return false
+		}
+		l.promises = slices.Delete(l.promises, i, i+1)
 	}
 	l.promises = append(l.promises, p)
 	return true
--- a/internal/tokenquota/burst_callers_test.go
+++ b/internal/tokenquota/burst_callers_test.go
@@ -16,8 +16,8 @@
 	kind      callerKind
 }{{"chat", 5, chat}, {"card", 12, cardCharge}, {"premium", 1.1, premiumDigest}, {"standard", 1.1, standardDigest}}
 
-// playBurst plays 9 s of a team's usual callers, 5 s of eight times as many and 11 s of the usual.
-func playBurst(t *testing.T, n, dropEvery int, seed uint64) *callers {
+// playBurst plays 9 s of a team's usual callers, 5 s of more by a factor and 11 s of the usual.
+func playBurst(t *testing.T, n, dropEvery int, more float64, seed uint64) *callers {
 	g := newLimiterGroup(n, dropEvery, testBounds, teamConfig(29000, 68873))
 	withStore(t, g.limiters...)
 	c := newCallers(t, g, seed)
@@ -26,7 +26,7 @@
 		time.Sleep(tick)
 		factor := 1.0
 		if now >= 9*time.Second && now < 14*time.Second {
-			factor = 8
+			factor = more
 		}
 		for _, u := range usualCallers {
 			for due := factor * u.perSecond * tick.Seconds(); c.chance(due); due-- {
@@ -54,7 +54,7 @@
 				if lossy {
 					dropEvery = 3
 				}
-				c := playBurst(t, n, dropEvery, seed)
+				c := playBurst(t, n, dropEvery, 8, seed)
 				check.True(c.mostInWindow(testBounds.Window) <= (29000*8+68873)*(1+testBounds.Over)+testBounds.Slack)
 				for name, r := range c.results {
 					if lossy {
@@ -81,3 +81,18 @@
 		check.True(sum["standard"].share() <= sum["premium"].share()+0.05)
 	}
 }
+
+// TestCallersWithinRate guards against a reserve that refuses or holds requests of a team within
+// its rate.
+func TestCallersWithinRate(t *testing.T) {
+	for _, n := range []int{1, 4, 28} {
+		synctest.Test(t, func(t *testing.T) {
+			check := is.New(t)
+			for name, r := range playBurst(t, n, 0, 1, 1).results {
+				t.Logf("%d instances, %s: %+v", n, name, *r)
+				check.Equal(r.served, r.sent)
+				check.Equal(r.refused+r.late, 0)
+			}
+		})
+	}
+}
