--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -8,6 +8,9 @@
 	// recentSlots is the part of the window whose rate counts if it is above that of the whole
 	// window: at the start of a burst the window still holds the demand from before.
 	recentSlots = 2
+	// minRecent is how many requests of the recent part tell its rate; few large ones differ too
+	// much by chance.
+	minRecent = 4
 	// smallerFactor is how much smaller than a request others are for which it leaves a reserve.
 	// The sizes of one kind of request differ by less, and its largest must not stay behind the
 	// others.
@@ -68,34 +71,52 @@
 	return append(cells, c)
 }
 
-// inWindow returns the tokens of the requests in a window that come before a: those that are much
-// smaller, and more urgent ones that are not larger.
-func (d *Demand) inWindow(a Ask, now, window time.Duration) (small, urgent float64) {
+// current calls f for each cell of the window, and tells which are of its recent part.
+func (d *Demand) current(now, window time.Duration, f func(c *demandCell, recent bool)) {
 	newest := slotNumber(now, window)
-	var recentSmall, recentUrgent float64
 	for i := range d.slots {
 		s := &d.slots[i]
 		if s.number <= newest-demandSlots || s.number > newest {
 			continue
 		}
-		recent := s.number > newest-recentSlots
-		for _, c := range s.cells {
-			switch {
-			case c.class <= a.class() && c.urgency < a.urgency():
-				urgent += c.tokens
-				if recent {
-					recentUrgent += c.tokens
-				}
-			case smallerFactor*c.tokens <= c.requests*a.Tokens:
-				small += c.tokens
-				if recent {
-					recentSmall += c.tokens
-				}
-			}
+		for k := range s.cells {
+			f(&s.cells[k], s.number > newest-recentSlots)
 		}
 	}
-	const windows = demandSlots / recentSlots
-	return max(small, windows*recentSmall), max(urgent, windows*recentUrgent)
+}
+
+// demandSum is a sum of demand.
+type demandSum struct{ requests, tokens, recentRequests, recentTokens float64 }
+
+func (s *demandSum) add(c *demandCell, recent bool) {
+	s.requests, s.tokens = s.requests+c.requests, s.tokens+c.tokens
+	if recent {
+		s.recentRequests, s.recentTokens = s.recentRequests+c.requests, s.recentTokens+c.tokens
+	}
+}
+
+// perWindow returns the tokens that are asked for in a window.
+func (s *demandSum) perWindow() float64 {
+	if s.recentRequests < minRecent {
+		return s.tokens
+	}
+	return max(s.tokens, s.recentTokens*demandSlots/recentSlots)
+}
+
+// inWindow returns the tokens of the requests in a window that come before a: those that are much
+// smaller, and more urgent ones that are not larger.
+func (d *Demand) inWindow(a Ask, now, window time.Duration) (smaller, moreUrgent float64) {
+	var small, urgent demandSum
+	class, urgency := a.class(), a.urgency()
+	d.current(now, window, func(c *demandCell, recent bool) {
+		switch {
+		case c.class <= class && c.urgency < urgency:
+			urgent.add(c, recent)
+		case smallerFactor*c.tokens <= c.requests*a.Tokens:
+			small.add(c, recent)
+		}
+	})
+	return small.perWindow(), urgent.perWindow()
 }
 
 // ReserveRate returns how many tokens of a share a request must leave for each second until
--- a/internal/entryrpc/quota_client.go
+++ b/internal/entryrpc/quota_client.go
@@ -18,7 +18,7 @@
 func (c *Client) Borrow(ctx context.Context, team string, r tokenquota.Request, holders tokenquota.HolderList) tokenquota.BorrowResult {
 	var result tokenquota.BorrowResult
 	for i, m := range c.lenders(holders) {
-		if r.Missing <= 0 || i >= maxBorrowCalls || ctx.Err() != nil {
+		if i >= maxBorrowCalls || ctx.Err() != nil {
 			break
 		}
 		callCtx, cancel := context.WithTimeout(ctx, borrowTimeout)
@@ -29,24 +29,9 @@
 			c.markUnavailable(m.Addr)
 			continue
 		}
-		result.HolderAnswered = result.HolderAnswered || resp.Holder
-		r.Counted = r.Counted || resp.Holder
-		if resp.Tokens > 0 {
-			result.Loans = append(result.Loans, tokenquota.Loan{From: m.Name, Tokens: resp.Tokens})
-			r.Missing -= resp.Tokens
-		}
-		if resp.Known {
-			result.Promised = resp.promised()
-		}
-		w := time.Duration(resp.WaitMS) * time.Millisecond
-		if resp.Booked {
-			// The tokens of another holder would serve the request before its time.
-			result.Booked, result.Wait = true, w
+		if !result.Add(m.Name, &r, resp.result()) {
 			break
 		}
-		if w > 0 && (result.Wait == 0 || w < result.Wait) {
-			result.Wait = w
-		}
 	}
 	return result
 }
--- a/internal/entryrpc/quota_messages.go
+++ b/internal/entryrpc/quota_messages.go
@@ -59,6 +59,10 @@
 	quotaPromise
 }
 
+func (r borrowResponse) result() tokenquota.LendResult {
+	return tokenquota.LendResult{Holder: r.Holder, Tokens: r.Tokens, Wait: time.Duration(r.WaitMS) * time.Millisecond, Booked: r.Booked, Promised: r.promised()}
+}
+
 // bookRequest asks a holder to book the tokens of a refused request.
 type bookRequest struct {
 	Team string `json:"team"`
--- a/internal/tokenquota/contention.go
+++ b/internal/tokenquota/contention.go
@@ -39,7 +39,7 @@
 	except, rate := uint64(0), 0.0
 	if due {
 		except = r.Digest
-	} else if !l.ignoreReserve {
+	} else {
 		rate = l.reserveRate(q, r.Ask, false, now)
 	}
 	if !q.contention.ledger.Booked() && unspent-r.Missing >= admission.Reserve(rate, l.window()+loanTTL) {
@@ -66,6 +66,9 @@
 // reserveRate returns what a request must leave for others. A request of nearly the whole allowance
 // leaves no more than it can.
 func (l *Limiter) reserveRate(q *teamQuota, a admission.Ask, ahead bool, now time.Time) float64 {
+	if l.ignoreReserve {
+		return 0
+	}
 	most := max(0, q.share-a.Tokens/float64(len(q.otherHolders)+1))
 	return q.contention.demand.ReserveRate(a, q.share, most, ahead, l.sinceEpoch(now), l.window())
 }
--- a/internal/tokenquota/loan.go
+++ b/internal/tokenquota/loan.go
@@ -24,6 +24,29 @@
 	HolderAnswered bool
 }
 
+// Add adds the answer of a lender to the request r, which misses less then, and reports whether
+// to ask a further one.
+func (b *BorrowResult) Add(lender string, r *Request, answer LendResult) (more bool) {
+	b.HolderAnswered = b.HolderAnswered || answer.Holder
+	r.Counted = r.Counted || answer.Holder
+	if answer.Tokens > 0 {
+		b.Loans = append(b.Loans, Loan{From: lender, Tokens: answer.Tokens})
+		r.Missing -= answer.Tokens
+	}
+	if answer.Known {
+		b.Promised = answer.Promised
+	}
+	if answer.Booked {
+		// The tokens of another holder would serve the request before its time.
+		b.Booked, b.Wait = true, answer.Wait
+		return false
+	}
+	if answer.Wait > 0 && (b.Wait == 0 || answer.Wait < b.Wait) {
+		b.Wait = answer.Wait
+	}
+	return r.Missing > 0
+}
+
 // HolderClient calls the instances that hold shares of an allowance.
 type HolderClient interface {
 	// Borrow asks the holders for the tokens that a request misses, one after the
