--- a/bench/replay/request.go
+++ b/bench/replay/request.go
@@ -48,7 +48,7 @@
 		if choice == nil {
 			r.requestReplica(unavailable.Replica)
 			if !r.await(ctx, waiting, unavailable) {
-				r.retryAfter = waitpolicy.RetryAfter(waiting, unavailable.RetryAfter)
+				r.retryAfter = waitpolicy.RetryAfter(waiting, unavailable.RetryAfter())
 				return refused
 			}
 			continue
@@ -74,10 +74,11 @@
 
 // await waits for a load and reports whether to pick again.
 func (r *request) await(ctx context.Context, waiting waitpolicy.Request, u upstream.Unavailable) bool {
-	if !u.LoadPending || waitpolicy.Decide(time.Now(), waiting, waitpolicy.Load, u.RetryAfter).Wait == 0 {
+	load, pending := u.Obstacle.(upstream.LoadPending)
+	if !pending || waitpolicy.Decide(time.Now(), waiting, waitpolicy.Load, load.RetryAfter).Wait == 0 {
 		return false
 	}
-	t := time.NewTimer(min(u.RetryAfter, u.PollAfter))
+	t := time.NewTimer(min(load.RetryAfter, load.PollAfter))
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
