Give less urgent requests nothing while more urgent ones of their team are refused

Cause: a route whose callers can wait for longer was served more often than a more urgent one.

Change: a holder remembers for 2 s which urgencies and sizes it refused without a booking. Meanwhile less urgent requests that are not much smaller get and book nothing, except what is booked for them; their Retry-After is a whole window. The reserve for more urgent requests includes those up to one doubling larger.

The tests of tokenquota and admission pass with the race detector.

--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -104,13 +104,13 @@
 }
 
 // inWindow returns the tokens of the requests in a window that come before a: those that are much
-// smaller, and more urgent ones that are not larger.
+// smaller, and more urgent ones that are not much larger.
 func (d *Demand) inWindow(a Ask, now, window time.Duration) (smaller, moreUrgent float64) {
 	var small, urgent demandSum
 	class, urgency := a.class(), a.urgency()
 	d.current(now, window, func(c *demandCell, recent bool) {
 		switch {
-		case c.class <= class && c.urgency < urgency:
+		case c.class <= class+1 && c.urgency < urgency:
 			urgent.add(c, recent)
 		case smallerFactor*c.tokens <= c.requests*a.Tokens:
 			small.add(c, recent)
@@ -121,7 +121,7 @@
 
 // ReserveRate returns how many tokens of a share a request must leave for each second until
 // they become free again: what much smaller requests ask for, at most maxReserve, and what more
-// urgent ones ask for that are not larger. most bounds what is reserved in all. ahead tells that
+// urgent ones ask for that are not much larger. most bounds what is reserved in all. ahead tells that
 // the request wants to have tokens later, when others may ask for more than now.
 func (d *Demand) ReserveRate(a Ask, share, most float64, ahead bool, now, window time.Duration) float64 {
 	small, urgent := d.inWindow(a, now, window)
--- a/internal/tokenquota/booking.go
+++ b/internal/tokenquota/booking.go
@@ -189,7 +189,11 @@
 	at, found := s.Earliest(r.Piece+bookingMargin, l.reserveRate(q, r.Ask, true, now))
 	result := BookResult{Holder: true, Wait: max(admission.Step, at-l.sinceEpoch(now))}
 	promise := admission.Promise{Digest: r.Digest, At: at}
-	if found && result.Wait <= r.Longest {
+	if l.yields(q, r.Ask, now) {
+		// It is not known when more urgent requests are no longer refused. Who came back sooner
+		// would be refused again.
+		result.Wait = max(result.Wait, l.window())
+	} else if found && result.Wait <= r.Longest {
 		promise.Tokens, result.Booked = r.Piece+bookingMargin, true
 	}
 	if r.Digest == 0 || !q.contention.ledger.Add(promise) {
@@ -199,6 +203,7 @@
 		l.bookings.made.Inc()
 	} else {
 		l.bookings.none.Inc()
+		q.contention.refusals.Add(r.Ask, l.sinceEpoch(now))
 	}
 	return result
 }
--- a/internal/tokenquota/contention.go
+++ b/internal/tokenquota/contention.go
@@ -9,8 +9,9 @@
 // contention is what a holder knows of the demand for its share, and to whom it has promised
 // parts of it.
 type contention struct {
-	demand admission.Demand
-	ledger admission.Ledger
+	demand   admission.Demand
+	ledger   admission.Ledger
+	refusals admission.Refusals
 }
 
 // sinceEpoch returns the time on the grid of schedules.
@@ -37,6 +38,9 @@
 		return unspent
 	}
 	except, rate := uint64(0), 0.0
+	if !due && l.yields(q, r.Ask, now) {
+		return 0
+	}
 	if due {
 		except = r.Digest
 	} else {
@@ -51,6 +55,11 @@
 	return s.Room(rate)
 }
 
+// yields reports whether a request gets nothing because more urgent ones are refused.
+func (l *Limiter) yields(q *teamQuota, a admission.Ask, now time.Time) bool {
+	return !l.ignoreReserve && q.contention.refusals.Before(a, l.sinceEpoch(now))
+}
+
 // schedule returns what will be left of the share, before bookings.
 func (l *Limiter) schedule(q *teamQuota, now time.Time) *admission.Schedule {
 	s := admission.NewSchedule(l.sinceEpoch(now), l.window()+loanTTL, q.share-q.assumedSpent(l.window(), now)-q.spentSum)
