--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -14,6 +14,9 @@
 	// to the first event of an attempt divided by its estimate.
 	eventPause, estimateRatio *metrics.Histogram
 	quarantined               *metrics.Counter
+	// refusedAgain counts requests that were refused for their team's rate, although their
+	// caller had been refused before.
+	refusedAgain *metrics.Counter
 }
 
 // NewStats registers the metrics in set.
@@ -25,6 +28,7 @@
 		eventPause:    set.NewHistogram("jacinthbend_event_pause_seconds"),
 		estimateRatio: set.NewHistogram("jacinthbend_estimate_ratio"),
 		quarantined:   set.NewCounter("jacinthbend_gateway_quarantined_total"),
+		refusedAgain:  set.NewCounter("jacinthbend_refused_again_total"),
 	}
 }
 
@@ -39,3 +43,8 @@
 func (s *Stats) countAttempt(outcome string) {
 	s.set.GetOrCreateCounter(fmt.Sprintf("jacinthbend_gateway_attempts_total{outcome=%q}", outcome)).Inc()
 }
+
+// watchWaiting registers the number of requests that wait in q.
+func (s *Stats) watchWaiting(q *quotaQueue) {
+	s.set.NewGauge("jacinthbend_admission_waiting", func() float64 { return float64(q.len()) })
+}
--- a/internal/tokenquota/limiter.go
+++ b/internal/tokenquota/limiter.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/jacinthbend/jacinthbend/internal/admission"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 	"github.com/jacinthbend/jacinthbend/internal/witness"
 )
@@ -44,6 +47,12 @@
 	instances     []string
 	// allotment is a digest of what the shares follow from.
 	allotment uint64
+	// epoch is the origin of the times of schedules and bookings.
+	epoch time.Time
+	// ignoreReserve gives out tokens in the order of arrival, for the negative control of the
+	// reserve.
+	ignoreReserve bool
+	bookings      bookingStats
 }
 
 // NewLimiter returns the limiter of the instance called self, without teams, as
@@ -53,6 +62,7 @@
 		self: self, bounds: bounds, holders: holders, quotas: make(map[string]*teamQuota),
 		checkpointDue: make(chan struct{}, 1), writeEnded: make(chan struct{}),
 		lease: witnessLease{clock: witness.BootTime}, usageDue: make(chan struct{}, 1), usageEnded: make(chan struct{}),
+		epoch: time.Now(), bookings: newBookingStats(metrics.NewSet()),
 	}
 }
 
@@ -88,9 +98,10 @@
 		}
 		limited[t.Name] = true
 		teamHolders := holders(t.Name, instances)
+		holderShare := l.bounds.allowance(t.Rate, t.Burst) / float64(len(teamHolders))
 		share := 0.0
 		if slices.Contains(teamHolders, l.self) {
-			share = l.bounds.allowance(t.Rate, t.Burst) / float64(len(teamHolders))
+			share = holderShare
 		}
 		q, ok := l.quotas[t.Name]
 		if !ok {
@@ -102,8 +113,13 @@
 			q.assumeSpent(1, now)
 			q.unread = false
 		}
+		lowered := share < q.share
+		q.holderShare = holderShare
 		q.share, q.rateFraction, q.step = share, l.bounds.rateFraction(t.Rate, t.Burst), l.bounds.stepFraction(t.Rate, t.Burst)
 		q.otherHolders = slices.DeleteFunc(teamHolders, func(name string) bool { return name == l.self })
+		if lowered {
+			l.dropBookings(q, now)
+		}
 	}
 	for name := range l.quotas {
 		if !limited[name] {
@@ -117,53 +133,81 @@
 	l.signalUsage()
 }
 
-// Take spends tokens of a team, and borrows from other holders what is missing. It waits a short
+// Take is Admit for a request of which only the tokens are known.
+func (l *Limiter) Take(ctx context.Context, team string, tokens float64) Decision {
+	return l.Admit(ctx, team, NewRequest(admission.Ask{Tokens: tokens}))
+}
+
+// Admit spends tokens of a team, and borrows from other holders what is missing. It waits a short
 // time for a checkpoint if the tokens are free and only lack a record in the store.
 // If it refuses, the caller must return the loans in the decision with
 // ReturnLoans.
-func (l *Limiter) Take(ctx context.Context, team string, tokens float64) Decision {
-	d := l.takeRecorded(ctx, team, tokens)
-	if d.Allowed || l.holders == nil {
+func (l *Limiter) Admit(ctx context.Context, team string, r Request) Decision {
+	d := l.takeRecorded(ctx, team, &r)
+	if d.Allowed {
+		return d
+	}
+	d.homes = l.homes(r.Ask, d)
+	if d.Booked {
 		return d
 	}
+	if l.holders != nil {
+		d = l.borrow(ctx, team, r, d)
+	}
+	if !d.Allowed && !d.Booked && !d.NoHolderAnswered && r.Longest > 0 {
+		l.book(ctx, team, r.Ask, &d)
+	}
+	return d
+}
+
+// borrow borrows from other holders what the decision d did not find here.
+func (l *Limiter) borrow(ctx context.Context, team string, r Request, d Decision) Decision {
 	// The borrower counts loanTTL from before the call, the lender from when it
 	// lends, so the loan expires here first.
 	expires := time.Now().Add(loanTTL)
-	result := l.holders.Borrow(ctx, team, tokens-d.Free, d.otherHolders)
+	r.Missing = r.Tokens - d.Free
+	result := l.holders.Borrow(ctx, team, r, HolderList{All: d.otherHolders, First: d.homes})
 	loans, borrowed := result.Loans, 0.0
 	for _, loan := range loans {
 		borrowed += loan.Tokens
 	}
-	if result.Wait > 0 {
+	if result.Booked {
+		d.Booked, d.Wait = true, result.Wait
+	} else if result.Wait > 0 {
 		d.Wait = min(d.Wait, result.Wait)
 	}
+	if result.Promised.Known {
+		d.Promised = result.Promised
+	}
 	d.Loans, d.NoHolderAnswered = loans, !result.HolderAnswered && d.Share == 0
-	if d.Free+borrowed < tokens {
+	if borrowed < r.Missing || d.Booked {
 		return d
 	}
 	l.addLoan(team, borrowed, expires)
-	retried := l.take(team, tokens)
+	retried := l.takeFor(team, &r)
+	retried.Promised = d.Promised
 	if retried.Allowed {
 		retried.Loans = loans
 	}
+	retried.homes = d.homes
 	return retried
 }
 
-// takeRecorded is take, but waits for the checkpoint that the tokens need.
-func (l *Limiter) takeRecorded(ctx context.Context, team string, tokens float64) Decision {
-	d := l.take(team, tokens)
+// takeRecorded is takeFor, but waits for the checkpoint that the tokens need.
+func (l *Limiter) takeRecorded(ctx context.Context, team string, r *Request) Decision {
+	d := l.takeFor(team, r)
 	if d.Allowed || !d.Unrecorded {
 		return d
 	}
 	timeout := time.NewTimer(recordWait)
 	defer timeout.Stop()
 	for d.Unrecorded && d.record.wait(ctx, timeout.C) {
-		d = l.take(team, tokens)
+		d = l.takeFor(team, r)
 	}
 	return d
 }
 
-func (l *Limiter) take(team string, tokens float64) Decision {
+func (l *Limiter) takeFor(team string, r *Request) Decision {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -172,16 +216,28 @@
 		return Decision{Allowed: true}
 	}
 	q.expire(l.window(), now)
-	d := Decision{Share: q.share, Free: q.free(l.window(), now) + q.borrowedTokens(), otherHolders: q.otherHolders}
-	if q.take(tokens, l.window(), now) {
+	free, borrowed := q.free(l.window(), now), q.borrowedTokens()
+	own := Request{Ask: r.Ask, Missing: r.Tokens - borrowed}
+	early, wait, promised := l.promised(q, r.Digest, now)
+	l.countDemand(q, r, promised, now)
+	d := Decision{Share: q.share, holderShare: q.holderShare, otherHolders: q.otherHolders, Promised: promised}
+	if early {
+		l.bookings.early.Inc()
+		d.Booked, d.Wait = true, wait
+		return d
+	}
+	room := l.room(q, &own, promised.Kept, now)
+	d.Free = min(free, room) + borrowed
+	if d.Free >= r.Tokens && q.take(r.Tokens, l.window(), now) {
 		d.Allowed = true
-		l.countTowardCheckpoint(q, tokens, now)
+		l.useBooking(q, &own, own.Missing)
+		l.countTowardCheckpoint(q, r.Tokens, now)
 		return d
 	}
-	if unspent := q.unspent(l.window(), now); unspent > q.free(l.window(), now) {
-		d.Unrecorded, d.record = true, l.wantRecord(q, min(tokens, unspent), now)
+	if room > free {
+		d.Unrecorded, d.record = true, l.wantRecord(q, min(r.Tokens, room), now)
 	}
-	d.Wait = q.wait(tokens, l.window(), now)
+	d.Wait = q.wait(r.Tokens, l.window(), now)
 	return d
 }
 
@@ -268,47 +324,67 @@
 // time that a borrower has for the call.
 const lendWait = 40 * time.Millisecond
 
-// Lend lends up to tokens of a team to another instance. If it lends less, wait is
-// the estimated time until it has the rest. holder is false if this instance holds
-// no share of the allowance, or does not know yet that it does.
+// Lend is LendTo for a request of which only the tokens are known.
 func (l *Limiter) Lend(ctx context.Context, team string, tokens float64) (lent float64, wait time.Duration, holder bool) {
-	lent, wait, holder, record := l.lend(team, tokens)
+	result := l.LendTo(ctx, team, NewRequest(admission.Ask{Tokens: tokens}))
+	return result.Tokens, result.Wait, result.Holder
+}
+
+// LendTo lends tokens of a team to a request at another instance, at most those that it misses.
+func (l *Limiter) LendTo(ctx context.Context, team string, r Request) LendResult {
+	result, record := l.lendFor(team, &r)
 	if record == nil {
-		return lent, wait, holder
+		return result
 	}
 	timeout := time.NewTimer(lendWait)
 	defer timeout.Stop()
+	lent := result.Tokens
 	for record != nil && record.wait(ctx, timeout.C) {
-		more := 0.0
-		more, wait, holder, record = l.lend(team, tokens-lent)
-		lent += more
+		r.Missing -= result.Tokens
+		result, record = l.lendFor(team, &r)
+		lent += result.Tokens
 	}
-	return lent, wait, holder
+	result.Tokens = lent
+	return result
 }
 
-// lend is Lend without a wait. record is set if the rest is free, but lacks a record in the store.
-func (l *Limiter) lend(team string, tokens float64) (lent float64, wait time.Duration, holder bool, record *recordWaiter) {
+// lendFor is LendTo without a wait. The waiter is set if the rest is free, but lacks a record in the
+// store.
+func (l *Limiter) lendFor(team string, r *Request) (LendResult, *recordWaiter) {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	q, ok := l.quotas[team]
 	if !ok || q.share == 0 {
-		return 0, 0, false, nil
+		return LendResult{}, nil
 	}
 	q.expire(l.window(), now)
-	lent = max(0, min(tokens, q.free(l.window(), now)))
+	early, wait, promised := l.promised(q, r.Digest, now)
+	l.countDemand(q, r, promised, now)
+	if early {
+		l.bookings.early.Inc()
+		return LendResult{Holder: true, Booked: true, Wait: wait, Promised: promised}, nil
+	}
+	if promised.Kept {
+		// What it found free elsewhere may be gone when the answer arrives.
+		r.Missing = q.contention.ledger.Find(r.Digest).Tokens - bookingMargin
+	}
+	room := l.room(q, r, promised.Kept, now)
+	lent := max(0, min(r.Missing, room, q.free(l.window(), now)))
 	if lent > 0 {
 		// The borrower may spend the tokens as late as at the end of the loan.
 		q.spend(lent, now.Add(loanTTL))
 		l.countTowardCheckpoint(q, lent, now)
+		l.useBooking(q, r, lent)
 	}
-	rest := tokens - lent
+	rest := r.Missing - lent
 	if rest <= 0 {
-		return lent, 0, true, nil
+		return LendResult{Holder: true, Tokens: lent, Promised: promised}, nil
 	}
-	if unspent := q.unspent(l.window(), now); unspent > 0 {
-		waiter := l.wantRecord(q, min(rest, unspent), now)
+	var record *recordWaiter
+	if left := room - lent; left > 0 {
+		waiter := l.wantRecord(q, min(rest, left), now)
 		record = &waiter
 	}
-	return lent, q.wait(rest, l.window(), now), true, record
+	return LendResult{Holder: true, Tokens: lent, Wait: q.wait(rest, l.window(), now), Promised: promised}, record
 }
--- a/internal/tokenquota/limiter_test.go
+++ b/internal/tokenquota/limiter_test.go
@@ -5,13 +5,16 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
+	"github.com/jacinthbend/jacinthbend/internal/admission"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 )
 
@@ -21,7 +24,9 @@
 	limiters  []*Limiter
 	instances []string
 	dropEvery int
-	answers   int
+	answers   atomic.Int64
+	// down are instances that do not answer.
+	down map[string]bool
 }
 
 type groupClient struct {
@@ -29,25 +34,46 @@
 	self int
 }
 
-func (c groupClient) Borrow(_ context.Context, team string, tokens float64, holders []string) BorrowResult {
+func (c groupClient) Borrow(_ context.Context, team string, r Request, holders HolderList) BorrowResult {
 	var got BorrowResult
-	// Instances ask holders in random order.
-	for _, i := range rand.New(rand.NewPCG(1, uint64(c.answers))).Perm(len(holders)) {
-		name := holders[i]
-		if tokens <= 0 {
-			break
+	// Instances ask the homes first, and then the other holders in random order.
+	order := slices.Clone(holders.First)
+	for _, i := range rand.New(rand.NewPCG(1, uint64(c.answers.Load()))).Perm(len(holders.All)) {
+		if name := holders.All[i]; !slices.Contains(order, name) {
+			order = append(order, name)
+		}
+	}
+	for _, name := range order {
+		if name == c.instances[c.self] || c.down[name] {
+			continue
 		}
-		lent, _, holder := c.limiterOf(name).Lend(context.Background(), team, tokens)
-		if c.answers++; lent > 0 && (c.dropEvery == 0 || c.answers%c.dropEvery != 0) {
-			got.Loans = append(got.Loans, Loan{name, lent})
-			tokens -= lent
+		result := c.limiterOf(name).LendTo(context.Background(), team, r)
+		if n := c.answers.Add(1); c.dropEvery > 0 && n%int64(c.dropEvery) == 0 {
+			result = LendResult{Holder: result.Holder}
+		}
+		if !got.Add(name, &r, result) {
+			break
 		}
-		got.HolderAnswered = got.HolderAnswered || holder
 	}
 	return got
 }
 
-func (unreachableHolders) Borrow(context.Context, string, float64, []string) BorrowResult {
+func (c groupClient) Book(_ context.Context, team string, r BookRequest, holder string) (BookResult, error) {
+	if c.down[holder] {
+		return BookResult{}, errors.New("no answer")
+	}
+	result := c.limiterOf(holder).Book(team, r)
+	if c.dropEvery == 1 {
+		return BookResult{}, errors.New("the answer is lost")
+	}
+	return result, nil
+}
+
+func (unreachableHolders) Book(context.Context, string, BookRequest, string) (BookResult, error) {
+	return BookResult{}, errors.New("no answer")
+}
+
+func (unreachableHolders) Borrow(context.Context, string, Request, HolderList) BorrowResult {
 	return BorrowResult{}
 }
 
@@ -103,6 +129,12 @@
 	return g
 }
 
+// take is takeFor for a request of which only the tokens are known.
+func (l *Limiter) take(team string, tokens float64) Decision {
+	r := NewRequest(admission.Ask{Tokens: tokens})
+	return l.takeFor(team, &r)
+}
+
 // take spends tokens, and returns the loans if it is refused.
 func take(l *Limiter, tokens float64) Decision {
 	d := l.Take(context.Background(), "t", tokens)
--- a/internal/tokenquota/team_quota.go
+++ b/internal/tokenquota/team_quota.go
@@ -56,6 +56,10 @@
 	// borrowed are the amounts borrowed from others, with the time at which
 	// they expire.
 	borrowed []timedTokens
+	// holderShare is the share of each holder.
+	holderShare float64
+	// contention decides who gets what is left of the share.
+	contention contention
 }
 
 // timedTokens is a number of tokens with a time.
--- a/internal/tokenquota/witness_fleet_test.go
+++ b/internal/tokenquota/witness_fleet_test.go
@@ -142,17 +142,24 @@
 }
 
 // Borrow implements HolderClient.
-func (f *witnessFleet) Borrow(ctx context.Context, team string, tokens float64, holders []string) (got BorrowResult) {
-	for _, name := range holders {
-		if l := f.limiter(name); l != nil && tokens > 0 {
-			lent, _, holder := l.Lend(ctx, team, tokens)
-			got.Loans, got.HolderAnswered = append(got.Loans, Loan{name, lent}), got.HolderAnswered || holder
-			tokens -= lent
+func (f *witnessFleet) Borrow(ctx context.Context, team string, r Request, holders HolderList) (got BorrowResult) {
+	for _, name := range holders.All {
+		if l := f.limiter(name); l != nil && !got.Add(name, &r, l.LendTo(ctx, team, r)) {
+			break
 		}
 	}
 	return got
 }
 
+// Book implements HolderClient.
+func (f *witnessFleet) Book(_ context.Context, team string, r BookRequest, holder string) (BookResult, error) {
+	l := f.limiter(holder)
+	if l == nil {
+		return BookResult{}, errors.New("the holder does not run")
+	}
+	return l.Book(team, r), nil
+}
+
 // Return implements HolderClient.
 func (f *witnessFleet) Return(_ context.Context, team string, loans []Loan) error {
 	for _, loan := range loans {
