Bound what a process holds for the clients of all its listeners

Cause: hertz read heads and bodies into memory before our handlers ran, kept each piece to the end of the request, copied all pieces of a head or trailer for each part that arrived, and took memory for as much as a client announced. Only responses had a budget.

Change: package clientbudget has one budget of bytes and connections for all listeners of a process, from memory_mb and the limit of open files. The gateway's budget for responses is part of it. peer.watchedConn has an input buffer in one piece instead of hertz's list. Bodies are streamed by hertz and read by the first handler, within the budget; the gateway no longer copies them. When the budget is used up, requests wait for up to 2 s, and connections that have stalled are ended, those that hold most and make least progress first. Ambiguous framing and doubled headers are refused with 400, announced bodies over the limit with 413 before they are read, and errors of hertz get our JSON body. After a refusal up to 32 MiB are read for up to 2 s, so that the client gets the response. Hertz's tracer is no longer needed.

--- a/internal/gateway/buffer_budget_test.go
+++ b/internal/gateway/buffer_budget_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/jacinthbend/jacinthbend/internal/clientbudget"
 )
 
 // TestLargeResponsesFillBuffers guards against small responses that find no room, because large ones,
@@ -11,7 +13,7 @@
 func TestLargeResponsesFillBuffers(t *testing.T) {
 	check := is.New(t)
 	const limit, step, small = 16 << 20, 64 << 10, 60 << 10
-	budget := newBufferBudget(limit)
+	budget := clientbudget.NewShare(limit)
 	var large []*bufferReservation
 	for range 60 {
 		r := &bufferReservation{budget: budget}
@@ -26,7 +28,7 @@
 	for _, r := range large {
 		r.release()
 	}
-	whole := &bufferReservation{budget: newBufferBudget(limit)}
+	whole := &bufferReservation{budget: clientbudget.NewShare(limit)}
 	check.True(whole.resize(limit / 2))
 	whole.release()
 	check.True(whole.resize(limit / 2))
--- a/internal/gateway/buffer_reservation.go
+++ b/internal/gateway/buffer_reservation.go
@@ -1,21 +1,29 @@
 package gateway
 
+import (
+	"github.com/pkg/errors"
+
+	"github.com/jacinthbend/jacinthbend/internal/clientbudget"
+)
+
+// defaultMaxBufferedBytes is the limit of the buffers if there is no budget.
+const defaultMaxBufferedBytes = 64 << 20
+
+// errBuffersFull means that the buffers of all requests have reached their limit.
+var errBuffersFull = errors.New("the instance has no memory left to buffer the response")
+
 // bufferReservation is the part of the gateway's buffer budget that one request
 // holds.
 type bufferReservation struct {
-	budget *bufferBudget
+	budget *clientbudget.Share
 	held   int
 }
 
 // resize changes the reservation to n bytes. It reports whether they are available;
 // if not, the reservation stays as it is.
 func (b *bufferReservation) resize(n int) bool {
-	more, moreLarge := n-b.held, max(0, n-smallBufferBytes)-max(0, b.held-smallBufferBytes)
-	switch {
-	case more > 0 && !b.budget.acquire(int64(more), int64(moreLarge)):
+	if !b.budget.Resize(int64(b.held), int64(n)) {
 		return false
-	case more < 0:
-		b.budget.release(int64(-more), int64(-moreLarge))
 	}
 	b.held = n
 	return true
--- a/internal/gateway/env_test.go
+++ b/internal/gateway/env_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/jacinthbend/jacinthbend/internal/clientbudget"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 	"github.com/jacinthbend/jacinthbend/internal/gateway"
 	"github.com/jacinthbend/jacinthbend/internal/lifecycle"
@@ -164,6 +165,10 @@
 	env.view, env.pool = v, upstream.NewPool("entry-0", "near", upstream.Bounds{})
 	core, logs := observer.New(zap.DebugLevel)
 	env.logs = logs
+	var buffers *clientbudget.Share
+	if maxBuffered > 0 {
+		buffers = clientbudget.NewShare(maxBuffered)
+	}
 	dialect := countingDialect{read: &env.attributesRead}
 	env.gateway = gateway.New(gateway.Options{
 		Dialect: dialect, Pool: env.pool,
@@ -173,7 +178,7 @@
 		}),
 		Quota:       tokenquota.NewLimiter("entry-0", tokenquota.Bounds{Window: time.Second}, nil),
 		RetryBudget: retrybudget.New(retrybudget.Bounds{Slack: 50, Window: time.Second}),
-		Loader:      env.loader, Lifecycle: env.lifecycle, DataCentre: "near", MaxBufferedBytes: maxBuffered, Logger: zap.New(core), Stats: gateway.NewStats(metrics.NewSet()),
+		Loader:      env.loader, Lifecycle: env.lifecycle, DataCentre: "near", Buffers: buffers, Logger: zap.New(core), Stats: gateway.NewStats(metrics.NewSet()),
 	})
 	env.gateway.Update(v)
 	check := is.New(t)
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jacinthbend/jacinthbend/internal/agentapi"
+	"github.com/jacinthbend/jacinthbend/internal/clientbudget"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 	"github.com/jacinthbend/jacinthbend/internal/lifecycle"
 	"github.com/jacinthbend/jacinthbend/internal/quarantine"
@@ -41,18 +42,17 @@
 	Origins    *streamorigin.Tracker
 	Lifecycle  *lifecycle.Machine
 	DataCentre string
-	// MaxBufferedBytes limits the bytes of responses that all requests together
-	// buffer; 0 stands for defaultMaxBufferedBytes.
-	MaxBufferedBytes int64
-	Logger           *zap.Logger
-	Stats            *Stats
+	// Buffers bounds the bytes of responses that all requests together buffer; nil stands for
+	// defaultMaxBufferedBytes.
+	Buffers *clientbudget.Share
+	Logger  *zap.Logger
+	Stats   *Stats
 }
 
 // Gateway serves callers' requests. It is safe for concurrent use.
 type Gateway struct {
 	Options
-	table   currentTable
-	buffers *bufferBudget
+	table currentTable
 	// exitAt is when a draining instance exits, in Unix nanoseconds; requests with a
 	// later deadline are refused. It is 0 until SetExitTime is called.
 	exitAt atomic.Int64
@@ -69,7 +69,10 @@
 
 // New returns a gateway that refuses all requests until Update is called.
 func New(o Options) *Gateway {
-	g := &Gateway{Options: o, buffers: newBufferBudget(o.MaxBufferedBytes)}
+	g := &Gateway{Options: o}
+	if g.Buffers == nil {
+		g.Buffers = clientbudget.NewShare(defaultMaxBufferedBytes)
+	}
 	if g.Quarantine == nil {
 		g.Quarantine = quarantine.NewTable()
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -24,7 +24,7 @@
 
 // Serve handles one request of a caller.
 func (g *Gateway) Serve(ctx context.Context, c *app.RequestContext) {
-	r := &request{g: g, c: c, serial: g.serials.Add(1), start: time.Now(), callerCtx: ctx, writer: streamWriter{c: c}, buffers: bufferReservation{budget: g.buffers}}
+	r := &request{g: g, c: c, serial: g.serials.Add(1), start: time.Now(), callerCtx: ctx, writer: streamWriter{c: c}, buffers: bufferReservation{budget: g.Buffers}}
 	defer r.recoverPanic()
 	r.readRequest()
 	r.waitUntilServing()
@@ -87,8 +87,8 @@
 // retry at once, since its next connection reaches another instance.
 const drainingRetryAfter = 10 * time.Millisecond
 
-// readRequest copies the request line, header and body, because the server reuses
-// the buffers of the request.
+// readRequest copies the request line and the header, because the server reuses their buffers. It does
+// not reuse the body.
 func (r *request) readRequest() {
 	req := &r.c.Request
 	r.method = string(req.Header.Method())
@@ -96,7 +96,7 @@
 	r.host = string(req.Header.Host())
 	r.header = make(http.Header, req.Header.Len())
 	req.Header.VisitAll(func(k, v []byte) { r.header.Add(string(k), string(v)) })
-	r.body = bytes.Clone(req.Body())
+	r.body = req.Body()
 }
 
 func (r *request) handle() {
--- a/internal/managed/agent.go
+++ b/internal/managed/agent.go
@@ -46,12 +46,16 @@
 		ColdLimit:      engineagent.ColdLimit{Over: s.Bounds.ColdOver, Slack: s.Bounds.ColdSlack},
 		StoreLoadLimit: engineagent.StoreLoadLimit{Window: s.LoadWindow(), RateFactor: s.Bounds.LoadOver},
 	})
-	peers, err := listen("peers", s.PeerAddr(), peer.ServerOptions{MaxBodyBytes: peerMaxBody})
+	budget, err := newClientBudget(s.MemoryMB)
+	if err != nil {
+		return err
+	}
+	peers, err := listen("peers", s.PeerAddr(), budget, peer.ServerOptions{MaxBodyBytes: peerMaxBody})
 	if err != nil {
 		return err
 	}
 	agent.Register(peers.Engine)
-	operators, err := newOperatorServer(s.OperatorAddr(), metrics.NewSet(), func() (bool, string) { return true, "" })
+	operators, err := newOperatorServer(s.OperatorAddr(), budget, metrics.NewSet(), func() (bool, string) { return true, "" })
 	if err != nil {
 		return err
 	}
--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/jacinthbend/jacinthbend/internal/agentclient"
 	"github.com/jacinthbend/jacinthbend/internal/agentrelay"
+	"github.com/jacinthbend/jacinthbend/internal/clientbudget"
 	"github.com/jacinthbend/jacinthbend/internal/entryrpc"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 	"github.com/jacinthbend/jacinthbend/internal/gateway"
@@ -51,6 +52,8 @@
 	quotaRestored chan struct{}
 	origins       *streamorigin.Tracker
 	metrics       *metrics.Set
+	// budget bounds what the listeners and the gateway hold for clients.
+	budget *clientbudget.Budget
 }
 
 // RunEntry runs an entry instance until ctx ends, and then drains it.
@@ -98,6 +101,9 @@
 func (e *entry) assemble() error {
 	s := e.settings
 	var err error
+	if e.budget, err = newClientBudget(s.MemoryMB); err != nil {
+		return err
+	}
 	if e.store, err = platform.NewStore(s.StoreAddr); err != nil {
 		return err
 	}
@@ -125,7 +131,7 @@
 		Origins:    e.origins,
 		Quarantine: crashes, Dialect: dialect, Pool: e.pool, UpstreamClient: e.exchange, Quota: e.quota,
 		RetryBudget: retrybudget.New(retrybudget.Bounds{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.RetryWindow()}),
-		Loader:      e.agentClient, Lifecycle: e.lifecycle, DataCentre: s.DataCentre, MaxBufferedBytes: s.MaxBufferedBytes(), Logger: e.logger, Stats: gateway.NewStats(e.metrics),
+		Loader:      e.agentClient, Lifecycle: e.lifecycle, DataCentre: s.DataCentre, Buffers: e.budget.Responses, Logger: e.logger, Stats: gateway.NewStats(e.metrics),
 	})
 	e.follower = topicwatch.NewFollower(topicwatch.Options{
 		Source: topicwatch.NewRelayedSource(e.store, e.entryClient, func(t topicwatch.Name, at time.Time) {
@@ -188,12 +194,12 @@
 
 func (e *entry) listen() error {
 	s := e.settings
-	callers, err := listen("callers", s.CallerAddr, peer.ServerOptions{MaxBodyBytes: callerMaxBody, ReadLimit: callerReadLimit, OmitDefaultHeaders: true})
+	callers, err := listen("callers", s.CallerAddr, e.budget, peer.ServerOptions{MaxBodyBytes: callerMaxBody, OmitDefaultHeaders: true})
 	if err != nil {
 		return err
 	}
 	callers.Any("/*path", e.gateway.Serve)
-	ready, err := listen("readiness", s.ReadyAddr, peer.ServerOptions{MaxBodyBytes: peerMaxBody})
+	ready, err := listen("readiness", s.ReadyAddr, e.budget, peer.ServerOptions{MaxBodyBytes: peerMaxBody})
 	if err != nil {
 		return err
 	}
@@ -202,13 +208,13 @@
 			c.String(http.StatusServiceUnavailable, reason)
 		}
 	})
-	peers, err := listen("peers", s.PeerAddr(), peer.ServerOptions{MaxBodyBytes: peerMaxBody})
+	peers, err := listen("peers", s.PeerAddr(), e.budget, peer.ServerOptions{MaxBodyBytes: peerMaxBody})
 	if err != nil {
 		return err
 	}
 	entryrpc.Register(peers.Engine, e.quota, e.follower, e.gateway.Quarantine, e.origins)
 	e.agentRelay.Register(peers.Engine)
-	operators, err := newOperatorServer(s.OperatorAddr(), e.metrics, e.ready)
+	operators, err := newOperatorServer(s.OperatorAddr(), e.budget, e.metrics, e.ready)
 	if err != nil {
 		return err
 	}
--- a/internal/managed/listeners.go
+++ b/internal/managed/listeners.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/jacinthbend/jacinthbend/internal/clientbudget"
 	"github.com/jacinthbend/jacinthbend/internal/peer"
 	"github.com/jacinthbend/jacinthbend/internal/telemetry"
 )
@@ -18,19 +19,20 @@
 const (
 	callerMaxBody = 16 << 20
 	peerMaxBody   = 4 << 20
-	// callerReadLimit is the longest time in which a caller sends a request, whatever its
-	// size: callerMaxBody takes as long at 5 Mbit/s.
-	callerReadLimit = 30 * time.Second
+	// readLimit is the longest time in which a client sends a request, whatever its size:
+	// callerMaxBody takes as long at 5 Mbit/s.
+	readLimit = 30 * time.Second
 	// writeTimeout ends a response to a peer that stopped reading.
 	writeTimeout = 20 * time.Second
 )
 
-func listen(name, addr string, o peer.ServerOptions) (*server.Hertz, error) {
+// listen listens on addr. All listeners of a process have one budget.
+func listen(name, addr string, budget *clientbudget.Budget, o peer.ServerOptions) (*server.Hertz, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s", name)
 	}
-	o.WriteTimeout = writeTimeout
+	o.WriteTimeout, o.ReadLimit, o.Budget = writeTimeout, readLimit, budget
 	return peer.NewServer(listener, o), nil
 }
 
@@ -45,9 +47,18 @@
 	}
 }
 
+// newClientBudget returns the budget of all listeners of a process.
+func newClientBudget(memoryMB int) (*clientbudget.Budget, error) {
+	openFiles, err := clientbudget.OpenFiles()
+	if err != nil {
+		return nil, err
+	}
+	return clientbudget.New(clientbudget.LimitsOf(memoryMB, openFiles)), nil
+}
+
 // newOperatorServer listens on addr and serves metrics and health checks.
-func newOperatorServer(addr string, set *metrics.Set, ready func() (bool, string)) (*server.Hertz, error) {
-	h, err := listen("operators", addr, peer.ServerOptions{MaxBodyBytes: peerMaxBody})
+func newOperatorServer(addr string, budget *clientbudget.Budget, set *metrics.Set, ready func() (bool, string)) (*server.Hertz, error) {
+	h, err := listen("operators", addr, budget, peer.ServerOptions{MaxBodyBytes: peerMaxBody})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/handle.go
+++ b/internal/peer/handle.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"unicode/utf8"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/cloudwego/hertz/pkg/route"
 
@@ -17,6 +19,11 @@
 	r.POST(path, func(ctx context.Context, c *app.RequestContext) {
 		defer func() { countCall("in", path, len(c.Request.Body()), len(c.Response.Body())) }()
 		var req Req
+		// The JSON decoder replaces invalid UTF-8, so that different names could become the same.
+		if !utf8.Valid(c.Request.Body()) {
+			WriteError(c, errkind.New(errkind.InvalidRequest, "the request body is not valid UTF-8"), "")
+			return
+		}
 		if err := json.Unmarshal(c.Request.Body(), &req); err != nil {
 			WriteError(c, errkind.Wrap(errkind.InvalidRequest, "the request body is not the expected JSON", err), "")
 			return
@@ -43,10 +50,16 @@
 // WriteError writes e as a JSON error response, with the status and headers
 // that errkind defines for its kind.
 func WriteError(c *app.RequestContext, e *errkind.Error, requestID string) {
+	setError(&c.Response, e, requestID)
+}
+
+func setError(r *protocol.Response, e *errkind.Error, requestID string) {
 	body := errkind.NewBody(e, requestID)
 	if body.Error.RetryAfterS > 0 {
-		c.Header("Retry-After", strconv.Itoa(body.Error.RetryAfterS))
+		r.Header.Set("Retry-After", strconv.Itoa(body.Error.RetryAfterS))
 	}
 	data, _ := json.Marshal(body)
-	c.Data(errkind.ResponseFor(e.Kind).Status, "application/json", data)
+	r.SetStatusCode(errkind.ResponseFor(e.Kind).Status)
+	r.Header.SetContentType("application/json")
+	r.SetBodyRaw(data)
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"time"
 
@@ -13,9 +14,11 @@
 	"github.com/cloudwego/hertz/pkg/app/middlewares/server/recovery"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network"
 	"go.uber.org/zap"
 
 	"github.com/jacinthbend/jacinthbend/internal/background"
+	"github.com/jacinthbend/jacinthbend/internal/clientbudget"
 	"github.com/jacinthbend/jacinthbend/internal/errkind"
 )
 
@@ -42,22 +45,32 @@
 	// ReadLimit is the longest time from the first byte of a request to its last; 0 is no
 	// limit.
 	ReadLimit time.Duration
+	// Budget bounds what this and other listeners hold together; nil stands for a budget of the
+	// default limits for this listener alone.
+	Budget *clientbudget.Budget
 	// OmitDefaultHeaders omits the Date and Content-Type headers that hertz
 	// adds by default, so that proxied responses pass unchanged.
 	OmitDefaultHeaders bool
 }
 
 // NewServer returns a hertz server on ln. The contexts of its handlers are
-// canceled when the client disconnects.
+// canceled when the client disconnects. Bodies are read by readRequest and not by hertz.
 func NewServer(ln net.Listener, o ServerOptions) *server.Hertz {
+	if o.Budget == nil {
+		openFiles, _ := clientbudget.OpenFiles() // 0 stands for the default
+		o.Budget = clientbudget.New(clientbudget.LimitsOf(0, openFiles))
+	}
+	limits := connLimits{maxHead: maxHeaderBytes, maxBody: o.MaxBodyBytes, readLimit: o.ReadLimit, writeTimeout: o.WriteTimeout}
 	options := []config.Option{
-		server.WithListener(listener{ln}),
-		server.WithTransport(newTransport),
-		server.WithMaxRequestBodySize(o.MaxBodyBytes),
+		server.WithListener(listener{ln, o.Budget.NewPort()}),
+		server.WithOnAccept(acceptedContext),
+		server.WithTransport(func(c *config.Options) network.Transporter { return newTransport(c, limits) }),
+		server.WithStreamBody(true),
+		// The limit of the body is checked with the head and by readRequest.
+		server.WithMaxRequestBodySize(math.MaxInt),
 		server.WithMaxHeaderBytes(maxHeaderBytes),
 		server.WithIdleTimeout(idleTimeout),
 		server.WithKeepAliveTimeout(idleTimeout),
-		server.WithWriteTimeout(o.WriteTimeout),
 		server.WithExitWaitTime(shutdownTimeout),
 		server.WithDisablePrintRoute(true),
 		server.WithRedirectTrailingSlash(false),
@@ -68,14 +81,8 @@
 		server.WithDisableDefaultContentType(o.OmitDefaultHeaders),
 		server.WithDisableDefaultDate(o.OmitDefaultHeaders),
 	}
-	if o.ReadLimit > 0 {
-		options = append(options, server.WithTracer(readLimit{o.ReadLimit}))
-	}
 	h := server.New(options...)
-	if o.ReadLimit > 0 {
-		h.Use(requestRead)
-	}
-	h.Use(recovery.Recovery(recovery.WithRecoveryHandler(answerPanic)))
+	h.Use(readRequest, recovery.Recovery(recovery.WithRecoveryHandler(answerPanic)))
 	return h
 }
 
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -20,12 +20,11 @@
 	// idleTimeout bounds the time until the first byte of a connection, and readTimeout the
 	// time between two bytes of its first request. Hertz sets them only after that request.
 	idleTimeout, readTimeout time.Duration
-	// writeTimeout bounds each write. The standard transport has no such limit.
-	writeTimeout time.Duration
+	limits                   connLimits
 }
 
-func newTransport(o *config.Options) network.Transporter {
-	return transport{standard.NewTransporter(o), o.IdleTimeout, o.ReadTimeout, o.WriteTimeout}
+func newTransport(o *config.Options, limits connLimits) network.Transporter {
+	return transport{standard.NewTransporter(o), o.IdleTimeout, o.ReadTimeout, limits}
 }
 
 // ListenAndServe implements network.Transporter.
@@ -33,7 +32,11 @@
 	return t.Transporter.ListenAndServe(func(ctx context.Context, c any) error {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
-		conn := &watchedConn{Conn: c.(network.Conn), writeTimeout: t.writeTimeout, disconnected: cancel}
+		conn := &watchedConn{Conn: c.(network.Conn), limits: t.limits, disconnected: cancel}
+		if accepted, ok := ctx.Value(acceptedKey{}).(*acceptedConn); ok {
+			conn.raw, conn.held = accepted.Conn, accepted.held
+			defer accepted.held.Close()
+		}
 		var err error
 		// The recovery of the server covers only its handlers.
 		panicked := background.Call(zap.L(), "connection", func() {
--- a/internal/settings/managed.go
+++ b/internal/settings/managed.go
@@ -124,13 +124,6 @@
 	return time.Duration(s.Bounds.DrainMS * float64(time.Millisecond))
 }
 
-// maxBufferShare is the share of the memory limit that buffered responses may take.
-const maxBufferShare = 4
-
-// MaxBufferedBytes is how many bytes of responses all requests of an entry instance may
-// buffer together.
-func (s *Managed) MaxBufferedBytes() int64 { return int64(s.MemoryMB) << 20 / maxBufferShare }
-
 func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
 
 // RetryWindow is the window over which the retries at a service are counted.
--- a/internal/settings/managed_test.go
+++ b/internal/settings/managed_test.go
@@ -39,7 +39,7 @@
 			s, err := LoadManaged(path, set)
 			if field == "" {
 				check.NoErr(err)
-				check.Equal(s.MaxBufferedBytes(), int64(46<<20))
+				check.Equal(s.MemoryMB, 184)
 				return
 			}
 			check.True(err != nil)
