--- a/internal/clientbudget/budget.go
+++ b/internal/clientbudget/budget.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"golang.org/x/sync/semaphore"
 )
 
 // Budget bounds what the listeners of a process hold together. It is safe for concurrent use.
@@ -25,9 +23,9 @@
 
 // New returns a budget.
 func New(l Limits) *Budget {
-	total := semaphore.NewWeighted(l.HeldBytes)
+	t := &total{limit: l.HeldBytes}
 	return &Budget{
-		Requests: newShare(total, l.RequestBytes), Responses: newShare(total, l.ResponseBytes), maxConns: l.Conns,
+		Requests: newShare(t, l.RequestBytes), Responses: newShare(t, l.ResponseBytes), maxConns: l.Conns,
 		conns: make(map[*Conn]struct{}), freed: make(chan struct{}),
 	}
 }
@@ -50,7 +48,7 @@
 
 // Open adds a connection. If there is no place, it ends one that is idle or stalled, and returns nil if
 // there is none. end is called at most once, to close the connection.
-func (p *Port) Open(end func(Reason)) *Conn {
+func (p *Port) Open(queues Queues, end func(Reason)) *Conn {
 	b := p.budget
 	now := time.Now()
 	b.mu.Lock()
@@ -67,7 +65,7 @@
 		}
 		b.remove(victim)
 	}
-	c := &Conn{port: p, end: end}
+	c := &Conn{port: p, queues: queues, end: end}
 	c.progressed.Store(now.UnixNano())
 	b.conns[c] = struct{}{}
 	p.conns++
--- a/internal/clientbudget/conn.go
+++ b/internal/clientbudget/conn.go
@@ -33,8 +33,9 @@
 
 // Conn is what is held for one connection. Its methods are called by one goroutine at a time.
 type Conn struct {
-	port *Port
-	end  func(Reason)
+	port   *Port
+	queues Queues
+	end    func(Reason)
 	// state is a state.
 	state atomic.Int32
 	// served is set once a request was received to its end.
@@ -134,7 +135,11 @@
 		return ErrEnded
 	}
 	err := c.waitFor(held, n)
-	c.progressed.Store(time.Now().UnixNano())
+	// The time of the wait is not the client's.
+	now := time.Now().UnixNano()
+	c.received.Store(0)
+	c.began.Store(now)
+	c.progressed.Store(now)
 	c.state.CompareAndSwap(int32(waiting), int32(receiving))
 	return err
 }
@@ -166,7 +171,7 @@
 			return ErrNoMemory
 		}
 		if first || n <= SmallBytes {
-			b.endStalled(n - held)
+			b.endStalled(b.Requests.Missing(held, n))
 		}
 		t.Reset(recheckInterval)
 		select {
@@ -182,9 +187,10 @@
 	switch state(c.state.Load()) {
 	case receiving:
 		age := now.Sub(time.Unix(0, c.began.Load()))
-		return quiet >= stallTime || age >= stallTime && float64(c.received.Load()) < minRate*age.Seconds()
+		slow := age >= stallTime && float64(c.received.Load()) < minRate*age.Seconds()
+		return (slow || quiet >= stallTime) && c.queues.Unread() == 0
 	case writing:
-		return quiet >= stallTime
+		return quiet >= stallTime && c.queues.Unsent() > 0
 	default:
 		return false
 	}
--- a/internal/clientbudget/share.go
+++ b/internal/clientbudget/share.go
@@ -1,6 +1,6 @@
 package clientbudget
 
-import "golang.org/x/sync/semaphore"
+import "sync"
 
 const (
 	// SmallBytes is the part of what one request holds that may use the whole share.
@@ -10,50 +10,51 @@
 	largeShare = 0.75
 )
 
-// Share bounds the bytes held for one purpose, in capacity of the buffers. It may be part of a total
-// for several purposes.
+// total bounds the bytes of all purposes.
+type total struct {
+	mu          sync.Mutex
+	limit, used int64
+}
+
+// Share bounds the bytes held for one purpose, in capacity of the buffers. It is part of a total for all
+// purposes.
 type Share struct {
-	total, all, large *semaphore.Weighted
+	total *total
+	// used and large count the bytes, and those beyond SmallBytes of a request.
+	limit, used, largeLimit, large int64
 }
 
-// NewShare returns a share of limit bytes that is part of no total.
-func NewShare(limit int64) *Share { return newShare(nil, limit) }
+// NewShare returns a share of limit bytes that is the only one.
+func NewShare(limit int64) *Share { return newShare(&total{limit: limit}, limit) }
 
-func newShare(total *semaphore.Weighted, limit int64) *Share {
-	return &Share{total: total, all: semaphore.NewWeighted(limit), large: semaphore.NewWeighted(int64(largeShare * float64(limit)))}
+func newShare(t *total, limit int64) *Share {
+	return &Share{total: t, limit: limit, largeLimit: int64(largeShare * float64(limit))}
 }
 
 // Resize changes what one request holds from one number of bytes to another. It reports whether they
 // are free.
 func (s *Share) Resize(from, to int64) bool {
-	more, moreLarge := to-from, max(0, to-SmallBytes)-max(0, from-SmallBytes)
-	if more <= 0 {
-		s.release(-more, -moreLarge)
-		return true
-	}
-	return s.acquire(more, moreLarge)
-}
-
-func (s *Share) acquire(n, large int64) bool {
-	if !s.large.TryAcquire(large) {
-		return false
-	}
-	if !s.all.TryAcquire(n) {
-		s.large.Release(large)
-		return false
-	}
-	if s.total != nil && !s.total.TryAcquire(n) {
-		s.all.Release(n)
-		s.large.Release(large)
+	s.total.mu.Lock()
+	defer s.total.mu.Unlock()
+	if to > from && s.missing(from, to) > 0 {
 		return false
 	}
+	s.used += to - from
+	s.large += beyondSmall(to) - beyondSmall(from)
+	s.total.used += to - from
 	return true
 }
 
-func (s *Share) release(n, large int64) {
-	s.all.Release(n)
-	s.large.Release(large)
-	if s.total != nil {
-		s.total.Release(n)
-	}
+// Missing returns how many bytes must become free for Resize.
+func (s *Share) Missing(from, to int64) int64 {
+	s.total.mu.Lock()
+	defer s.total.mu.Unlock()
+	return s.missing(from, to)
 }
+
+func (s *Share) missing(from, to int64) int64 {
+	more, moreLarge := to-from, beyondSmall(to)-beyondSmall(from)
+	return max(s.used+more-s.limit, s.total.used+more-s.total.limit, s.large+moreLarge-s.largeLimit)
+}
+
+func beyondSmall(n int64) int64 { return max(0, n-SmallBytes) }
--- a/internal/gateway/env_test.go
+++ b/internal/gateway/env_test.go
@@ -52,7 +52,7 @@
 
 // testEnv is a gateway with scripted upstreams.
 type testEnv struct {
-	t         *testing.T
+	t         testing.TB
 	gateway   *gateway.Gateway
 	lifecycle *lifecycle.Machine
 	addr      string
@@ -87,7 +87,7 @@
 	{Name: "nowhere", Prefix: "/nowhere/", Kind: fleet.Idempotent, MaxAttempts: 1, Targets: []fleet.Target{{Service: "none"}}},
 }
 
-func newEnv(t *testing.T, scripts ...script) *testEnv {
+func newEnv(t testing.TB, scripts ...script) *testEnv {
 	env := newStartingEnv(t, scripts...)
 	is.New(t).NoErr(env.lifecycle.Serve())
 	return env
@@ -124,13 +124,13 @@
 }
 
 // newStartingEnv returns an environment whose gateway is still starting.
-func newStartingEnv(t *testing.T, scripts ...script) *testEnv {
+func newStartingEnv(t testing.TB, scripts ...script) *testEnv {
 	return newLimitedEnv(t, 0, scripts...)
 }
 
 // newLimitedEnv returns an environment whose gateway is still starting and buffers at
 // most maxBuffered bytes of responses.
-func newLimitedEnv(t *testing.T, maxBuffered int64, scripts ...script) *testEnv {
+func newLimitedEnv(t testing.TB, maxBuffered int64, scripts ...script) *testEnv {
 	env := &testEnv{t: t, lifecycle: lifecycle.New(), connErrs: make(chan error, 16), closedByScript: make(chan struct{}, 64), loader: &fakeLoader{}}
 	v := &fleet.View{Upstreams: make(map[string]*fleet.Upstream), Evacuated: map[string]bool{}, Members: map[string]fleet.Member{}}
 	c := &fleet.Config{
@@ -184,7 +184,7 @@
 	check := is.New(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	check.NoErr(err)
-	h := peer.NewServer(ln, peer.ServerOptions{MaxBodyBytes: 1 << 20, WriteTimeout: time.Second, OmitDefaultHeaders: true})
+	h := peer.NewServer(ln, peer.ServerOptions{MaxBodyBytes: 1 << 20, WriteTimeout: time.Second, ReadLimit: 30 * time.Second, OmitDefaultHeaders: true})
 	h.Any("/*path", env.gateway.Serve)
 	go func() { _ = h.Run() }()
 	t.Cleanup(func() { _ = h.Close() })
--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -194,7 +194,7 @@
 
 func (e *entry) listen() error {
 	s := e.settings
-	callers, err := listen("callers", s.CallerAddr, e.budget, peer.ServerOptions{MaxBodyBytes: callerMaxBody, OmitDefaultHeaders: true})
+	callers, err := listen("callers", s.CallerAddr, e.budget, peer.ServerOptions{MaxBodyBytes: callerMaxBody, RequestIDHeader: platform.HeaderCodec{}.RequestIDHeader(), OmitDefaultHeaders: true})
 	if err != nil {
 		return err
 	}
--- a/internal/peer/accepted_conn.go
+++ b/internal/peer/accepted_conn.go
@@ -18,7 +18,7 @@
 
 // newAcceptedConn returns nil if the budget has no place for the connection.
 func newAcceptedConn(c net.Conn, port *clientbudget.Port) *acceptedConn {
-	held := port.Open(func(reason clientbudget.Reason) {
+	held := port.Open(kernelQueues{c}, func(reason clientbudget.Reason) {
 		countRefused(reason, c.RemoteAddr().String())
 		_ = c.Close()
 	})
--- a/internal/peer/body_reader.go
+++ b/internal/peer/body_reader.go
@@ -120,7 +120,13 @@
 	c.phase, c.draining = phaseHandled, true
 	rc.Request.ResetBody()
 	rc.SetConnectionClose()
-	setError(&rc.Response, r.err, "")
+	id := ""
+	if name := c.limits.requestIDHeader; name != "" {
+		if id = string(rc.Request.Header.Peek(name)); id != "" {
+			rc.Response.Header.Set(name, id)
+		}
+	}
+	setError(&rc.Response, r.err, id)
 	rc.Abort()
 }
 
--- a/internal/peer/conn_limits.go
+++ b/internal/peer/conn_limits.go
@@ -15,7 +15,9 @@
 	// hertz reads them one by one. A body of 4 MiB in chunks of 16 bytes has as much.
 	maxChunkLinesBytes = 512 << 10
 	// unchargedInputBytes is the part of an input buffer that counts as part of the connection.
-	unchargedInputBytes = 16 << 10
+	unchargedInputBytes = secondInputBytes
+	// headCopies is how often hertz and the gateway copy a head.
+	headCopies = 3
 	// drainBytes and drainTime limit what is read and thrown away after a refusal. Closing a socket
 	// with unread bytes resets the connection, and the client may lose the response.
 	drainBytes = 32 << 20
@@ -30,4 +32,6 @@
 	readLimit time.Duration
 	// writeTimeout is the longest time of one write; 0 is no limit.
 	writeTimeout time.Duration
+	// requestIDHeader names the header with the id of a request; it may be empty.
+	requestIDHeader string
 }
--- a/internal/peer/framing.go
+++ b/internal/peer/framing.go
@@ -19,9 +19,28 @@
 	http10               = []byte("HTTP/1.0")
 )
 
+// headOf returns the head that p begins with, or nil if its end is missing. The end is an empty line
+// after another line.
+func headOf(p []byte) []byte {
+	for from := 0; ; {
+		i := bytes.IndexByte(p[from:], '\n')
+		if i < 0 {
+			return nil
+		}
+		from += i + 1
+		rest := p[from:]
+		switch {
+		case len(rest) > 0 && rest[0] == '\n':
+			return p[:from+1]
+		case len(rest) > 1 && rest[0] == '\r' && rest[1] == '\n':
+			return p[:from+2]
+		}
+	}
+}
+
 // checkHead returns why a request with the given head is refused, or nil: the length of its body is
 // ambiguous (RFC 9112, 6.1 and 6.3) or above maxBody, or a header that may be sent once was sent twice.
-// Hertz has parsed the head; it takes the last of several lengths and any coding for chunked.
+// Hertz would take the last of several lengths, and any coding for chunked.
 func checkHead(head []byte, maxBody int) *refusal {
 	var seen [len(singleHeaders)]bool
 	var length []byte
@@ -35,9 +54,7 @@
 		}
 		switch line[0] | 0x20 {
 		case ' ', '\t' | 0x20:
-			if len(bytes.TrimSpace(line)) > 0 {
-				return framingRefusal("a header continues on a second line")
-			}
+			return framingRefusal("a header continues on a second line")
 		case 'c':
 			if value, ok := headerValue(line, contentLengthName); ok {
 				if length != nil && !bytes.Equal(length, value) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -48,6 +48,9 @@
 	// Budget bounds what this and other listeners hold together; nil stands for a budget of the
 	// default limits for this listener alone.
 	Budget *clientbudget.Budget
+	// RequestIDHeader names the header with the id of a request, which refusals repeat; it may be
+	// empty.
+	RequestIDHeader string
 	// OmitDefaultHeaders omits the Date and Content-Type headers that hertz
 	// adds by default, so that proxied responses pass unchanged.
 	OmitDefaultHeaders bool
@@ -60,7 +63,7 @@
 		openFiles, _ := clientbudget.OpenFiles() // 0 stands for the default
 		o.Budget = clientbudget.New(clientbudget.LimitsOf(0, openFiles))
 	}
-	limits := connLimits{maxHead: maxHeaderBytes, maxBody: o.MaxBodyBytes, readLimit: o.ReadLimit, writeTimeout: o.WriteTimeout}
+	limits := connLimits{maxHead: maxHeaderBytes, maxBody: o.MaxBodyBytes, readLimit: o.ReadLimit, writeTimeout: o.WriteTimeout, requestIDHeader: o.RequestIDHeader}
 	options := []config.Option{
 		server.WithListener(listener{ln, o.Budget.NewPort()}),
 		server.WithOnAccept(acceptedContext),
--- a/internal/peer/watched_conn.go
+++ b/internal/peer/watched_conn.go
@@ -35,6 +35,8 @@
 	phase requestPhase
 	// peeks counts how often hertz has looked at bytes since it last took any.
 	peeks int
+	// headChecked is set once the head of the current request was checked.
+	headChecked bool
 	// lineBytes and linesBytes count the bytes of the current chunk line and of all of this request.
 	lineBytes, linesBytes int
 	// bodyHeld and inputHeld are the parts of the budget for the body and for the input buffer.
@@ -43,8 +45,9 @@
 	refused *refusal
 	// draining makes Close read what the client still sends.
 	draining bool
-	// timer closes the connection if a request takes too long to arrive.
+	// timer closes the connection if a request that began at began takes too long to arrive.
 	timer *time.Timer
+	began time.Time
 }
 
 // memoryRetryAfter is the suggested wait after a request found no memory. Stalled connections are ended
@@ -83,8 +86,9 @@
 
 // beginRequest starts the limits of a request whose first bytes have arrived.
 func (c *watchedConn) beginRequest() bool {
-	c.phase, c.linesBytes, c.lineBytes = phaseHead, 0, 0
+	c.phase, c.headChecked, c.linesBytes, c.lineBytes = phaseHead, false, 0, 0
 	if c.limits.readLimit > 0 {
+		c.began = time.Now()
 		c.setTimer(min(headLimit, c.limits.readLimit))
 	}
 	return c.held == nil || c.held.Begin(c.in.size())
@@ -102,12 +106,27 @@
 	c.timer.Reset(d)
 }
 
-// headRead checks a head that hertz has parsed.
-func (c *watchedConn) headRead(head []byte) {
-	c.phase = phaseBody
+// checkReceivedHead checks the head if it has arrived whole. It does so before hertz parses it, since
+// hertz joins continued lines in place, so that it then takes the wrong length of the head.
+func (c *watchedConn) checkReceivedHead() {
+	head := headOf(c.in.unread())
+	if head == nil {
+		return
+	}
+	c.headChecked = true
 	c.refused = checkHead(head, c.limits.maxBody)
+	if len(head) > firstInputBytes && c.refused == nil {
+		if err := c.hold(c.bodyHeld, c.inputHeld+headCopies*len(head)); err != nil {
+			c.refused = c.refusalFor(err)
+		}
+	}
+}
+
+// headParsed tells that hertz has parsed the head.
+func (c *watchedConn) headParsed() {
+	c.phase = phaseBody
 	if c.limits.readLimit > headLimit {
-		c.setTimer(c.limits.readLimit - headLimit)
+		c.setTimer(c.limits.readLimit - time.Since(c.began))
 	}
 }
 
--- a/internal/peer/watched_reads.go
+++ b/internal/peer/watched_reads.go
@@ -11,9 +11,9 @@
 
 // Peek implements network.Reader.
 func (c *watchedConn) Peek(n int) ([]byte, error) {
-	if c.phase == phaseBody && c.refused != nil {
-		return nil, c.refused
-	}
+	// Hertz sends no response if the wait for the first bytes of a request fails, so the request is
+	// checked when hertz looks at them again.
+	begins := c.phase == phaseAwaiting
 	if c.phase == phaseAwaiting && c.in.size() > 0 && !c.beginRequest() {
 		return nil, clientbudget.ErrEnded
 	}
@@ -33,6 +33,15 @@
 			return nil, err
 		}
 	}
+	if begins {
+		return c.in.unread()[:n], nil
+	}
+	if c.phase == phaseHead && !c.headChecked {
+		c.checkReceivedHead()
+	}
+	if c.refused != nil && c.phase != phaseHandled {
+		return nil, c.refused
+	}
 	return c.in.unread()[:n], nil
 }
 
@@ -40,15 +49,13 @@
 // parses it from the beginning each time.
 func (c *watchedConn) fillHead() error {
 	for before := c.in.size(); c.in.size() < 2*before; {
-		searched := max(0, c.in.size()-len("\n\r"))
 		if err := c.fill(c.in.size() + 1); err != nil {
 			if c.in.size() > before {
 				return nil
 			}
 			return err
 		}
-		tail := c.in.unread()[searched:]
-		if bytes.Contains(tail, []byte("\n\r\n")) || bytes.Contains(tail, []byte("\n\n")) {
+		if headOf(c.in.unread()) != nil {
 			return nil
 		}
 		if c.phase == phaseHead && c.in.size() >= c.limits.maxHead {
@@ -109,8 +116,8 @@
 
 // Skip implements network.Reader. Hertz skips a head at once after it has parsed it.
 func (c *watchedConn) Skip(n int) error {
-	if c.phase == phaseHead && n > 0 && n <= c.in.size() {
-		c.headRead(c.in.unread()[:n])
+	if c.phase == phaseHead && n > 0 {
+		c.headParsed()
 	}
 	c.in.start += min(n, c.in.size())
 	c.peeks = 0
