--- a/bench/untrusted/testbed_test.go
+++ b/bench/untrusted/testbed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -105,7 +106,7 @@
 	case callers:
 		s.CallerAddr, s.ReadyAddr = at(4), at(5)
 		service := &platformtest.Service{ID: "u-1", StartMS: 1, OnRun: func(platformtest.Run) {}}
-		store.Put(platformtest.UpstreamTopic, "u-1", service.UpstreamRecord("p", "z", serve(t, service), "ready"))
+		store.Put(platformtest.UpstreamTopic, "u-1", service.UpstreamRecord("p", "z", serve(t, shortAnswers(service)), "ready"))
 		p.addr, p.path = s.CallerAddr, "/p/x"
 		p.ordinary = func() bool { return sendOrdinary(p.addr).Status == http.StatusOK }
 	}
@@ -130,6 +131,22 @@
 	return p
 }
 
+// countPath is a path whose answers do not repeat the body of the request.
+const countPath = "/p/count"
+
+// shortAnswers passes requests for countPath on without their bodies.
+func shortAnswers(s *platformtest.Service) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == countPath {
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+			r.Body = http.NoBody
+		}
+		s.ServeHTTP(w, r)
+	})
+}
+
 func sendOrdinary(addr string) platformtest.Response {
 	return platformtest.Send(context.Background(), &http.Transport{DisableKeepAlives: true}, addr, platformtest.Request{
 		ID: "ordinary", Method: http.MethodPost, Host: "h.example", Path: "/p/x", Key: "key", Body: strings.Repeat("b", 8<<10), Deadline: 8 * time.Second,
--- a/internal/clientbudget/budget_test.go
+++ b/internal/clientbudget/budget_test.go
@@ -67,6 +67,7 @@
 		}
 		small, large, sending, unread := all[0], all[1], all[2], all[3]
 		check.NoErr(small.Hold(100 << 10))
+		check.NoErr(unread.Hold(1600 << 10)) // holds most
 		time.Sleep(2 * stallTime)
 		sending.Received(8 * minRate)
 		late := open(p, queues{})
--- a/internal/clientbudget/limits.go
+++ b/internal/clientbudget/limits.go
@@ -1,6 +1,7 @@
 package clientbudget
 
 import (
+	"math"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -45,6 +46,9 @@
 	Conns int
 }
 
+// Unlimited are the limits of a listener without a budget: each connection has only its own limits.
+var Unlimited = Limits{HeldBytes: math.MaxInt64 / 2, RequestBytes: math.MaxInt64 / 2, ResponseBytes: math.MaxInt64 / 2, Conns: math.MaxInt32}
+
 // LimitsOf returns the limits for a machine with the given memory in MB and limit of open files. 0
 // stands for the defaults.
 func LimitsOf(memoryMB, openFiles int) Limits {
--- a/internal/peer/body_reader.go
+++ b/internal/peer/body_reader.go
@@ -116,8 +116,8 @@
 // refuse answers a request whose body could not be read, and ends the connection after it.
 func (c *watchedConn) refuse(rc *app.RequestContext, err error) {
 	r := c.refusalFor(err)
-	countRefused(r.reason, c.RemoteAddr().String())
-	c.phase, c.draining = phaseHandled, true
+	c.countRefusal(r)
+	c.phase, c.draining = phaseHandled, !c.broken
 	rc.Request.ResetBody()
 	rc.SetConnectionClose()
 	id := ""
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -45,8 +45,8 @@
 	// ReadLimit is the longest time from the first byte of a request to its last; 0 is no
 	// limit.
 	ReadLimit time.Duration
-	// Budget bounds what this and other listeners hold together; nil stands for a budget of the
-	// default limits for this listener alone.
+	// Budget bounds what this and other listeners hold together; nil stands for no such
+	// bound.
 	Budget *clientbudget.Budget
 	// RequestIDHeader names the header with the id of a request, which refusals repeat; it may be
 	// empty.
@@ -60,8 +60,7 @@
 // canceled when the client disconnects. Bodies are read by readRequest and not by hertz.
 func NewServer(ln net.Listener, o ServerOptions) *server.Hertz {
 	if o.Budget == nil {
-		openFiles, _ := clientbudget.OpenFiles() // 0 stands for the default
-		o.Budget = clientbudget.New(clientbudget.LimitsOf(0, openFiles))
+		o.Budget = clientbudget.New(clientbudget.Unlimited)
 	}
 	limits := connLimits{maxHead: maxHeaderBytes, maxBody: o.MaxBodyBytes, readLimit: o.ReadLimit, writeTimeout: o.WriteTimeout, requestIDHeader: o.RequestIDHeader}
 	options := []config.Option{
--- a/internal/peer/watched_conn.go
+++ b/internal/peer/watched_conn.go
@@ -43,6 +43,10 @@
 	bodyHeld, inputHeld int
 	// refused is why the request is refused. Reads fail with it.
 	refused *refusal
+	// broken is set once a read has failed: the client has gone, or the connection was ended.
+	broken bool
+	// answered is set once an error response of hertz was replaced.
+	answered bool
 	// draining makes Close read what the client still sends.
 	draining bool
 	// timer closes the connection if a request that began at began takes too long to arrive.
@@ -191,14 +195,15 @@
 	if c.phase == phaseHandled || c.refused == nil && bytes.HasPrefix(p, continueStatus) {
 		return c.Conn.WriteBinary(p)
 	}
-	if c.draining {
+	if c.answered {
 		return len(p), nil // the body of the error response
 	}
+	c.answered = true
 	if c.refused == nil {
 		c.refused = refusalOf(statusOf(p))
 	}
-	c.draining = true
-	countRefused(c.refused.reason, c.RemoteAddr().String())
+	c.draining = !c.broken
+	c.countRefusal(c.refused)
 	if err := c.refused.write(c.Conn); err != nil {
 		return 0, err
 	}
@@ -208,6 +213,13 @@
 	return len(p), nil
 }
 
+// countRefusal counts a refusal, unless there is nobody any more to refuse.
+func (c *watchedConn) countRefusal(r *refusal) {
+	if !c.broken {
+		countRefused(r.reason, c.RemoteAddr().String())
+	}
+}
+
 // statusOf returns the status of a response that begins with p.
 func statusOf(p []byte) int {
 	const digits = 3
--- a/internal/peer/watched_reads.go
+++ b/internal/peer/watched_reads.go
@@ -70,6 +70,7 @@
 	if c.in.data == nil {
 		// An idle connection has only the buffer of hertz's.
 		if _, err := c.Conn.Peek(1); err != nil {
+			c.broken = c.phase != phaseHandled
 			return err
 		}
 	}
@@ -79,6 +80,7 @@
 	read, err := c.Conn.Read(c.in.free())
 	c.in.end += read
 	if read == 0 && err != nil {
+		c.broken = c.phase != phaseHandled
 		return err
 	}
 	switch {
@@ -136,6 +138,7 @@
 		return n, nil
 	}
 	n, err := c.Conn.Read(p)
+	c.broken = err != nil
 	if n > 0 && c.held != nil {
 		c.held.Received(n)
 	}
