--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jacinthbend/jacinthbend/internal/agentapi"
+	"github.com/jacinthbend/jacinthbend/internal/clientbudget"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 	"github.com/jacinthbend/jacinthbend/internal/lifecycle"
 	"github.com/jacinthbend/jacinthbend/internal/quarantine"
@@ -41,9 +42,9 @@
 	Origins    *streamorigin.Tracker
 	Lifecycle  *lifecycle.Machine
 	DataCentre string
-	// MaxBufferedBytes limits the bytes of responses that all requests together
-	// buffer; 0 stands for defaultMaxBufferedBytes.
-	MaxBufferedBytes int64
+	// Buffers bounds the bytes of responses that all requests together buffer; nil stands for
+	// defaultMaxBufferedBytes.
+	Buffers *clientbudget.Share
 	// MaxWaitingBytes limits the bytes of the requests that wait for a team's quota; 0
 	// stands for defaultMaxWaitingBytes.
 	MaxWaitingBytes int64
@@ -55,7 +56,6 @@
 type Gateway struct {
 	Options
 	table   currentTable
-	buffers *bufferBudget
 	waiting *quotaQueue
 	// exitAt is when a draining instance exits, in Unix nanoseconds; requests with a
 	// later deadline are refused. It is 0 until SetExitTime is called.
@@ -75,7 +75,10 @@
 
 // New returns a gateway that refuses all requests until Update is called.
 func New(o Options) *Gateway {
-	g := &Gateway{Options: o, buffers: newBufferBudget(o.MaxBufferedBytes), waiting: newQuotaQueue(o.MaxWaitingBytes)}
+	g := &Gateway{Options: o, waiting: newQuotaQueue(o.MaxWaitingBytes)}
+	if g.Buffers == nil {
+		g.Buffers = clientbudget.NewShare(defaultMaxBufferedBytes)
+	}
 	g.Stats.watchWaiting(g.waiting)
 	if g.Quarantine == nil {
 		g.Quarantine = quarantine.NewTable()
--- a/internal/managed/agent.go
+++ b/internal/managed/agent.go
@@ -47,7 +47,11 @@
 		ColdLimit:      engineagent.ColdLimit{Over: s.Bounds.ColdOver, Slack: s.Bounds.ColdSlack},
 		StoreLoadLimit: engineagent.StoreLoadLimit{Window: s.LoadWindow(), RateFactor: s.Bounds.LoadOver},
 	})
-	peers, err := listen("peers", s.PeerAddr(), peer.ServerOptions{MaxBodyBytes: peerMaxBody})
+	budget, err := newClientBudget(s.MemoryMB)
+	if err != nil {
+		return err
+	}
+	peers, err := listen("peers", s.PeerAddr(), budget, peer.ServerOptions{MaxBodyBytes: peerMaxBody})
 	if err != nil {
 		return err
 	}
@@ -56,7 +60,7 @@
 	records.Register(peers.Engine)
 	set := metrics.NewSet()
 	set.NewGauge("jacinthbend_witness_records", func() float64 { return float64(records.Len()) })
-	operators, err := newOperatorServer(s.OperatorAddr(), set, func() (bool, string) { return true, "" })
+	operators, err := newOperatorServer(s.OperatorAddr(), budget, set, func() (bool, string) { return true, "" })
 	if err != nil {
 		return err
 	}
