Report usage by one entry instance at a time

The platform wants, for each window of true time, the number of requests of each team that upstreams began to run, from one holder at a time with a fencing token.

Package duty decides who holds the duty: claims and reports are records of one partition of the platform's log, each appended on the condition that its writer has read all records before it. Package usage counts runs and collects the counts of all entry instances. Without the new settings nothing is done.

--- /dev/null
+++ b/internal/duty/reporter_usage.go
@@ -0,0 +1,189 @@
+package duty
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/jacinthbend/jacinthbend/internal/background"
+	"github.com/jacinthbend/jacinthbend/internal/telemetry"
+	"github.com/jacinthbend/jacinthbend/internal/usage"
+)
+
+const (
+	// reportTTL is how long after the end of its window a report is sent.
+	reportTTL = 30 * time.Second
+	// The pauses after calls to the platform that failed.
+	firstCallPause = 500 * time.Millisecond
+	callPause      = time.Second
+	// notifiedCandidates is how many candidates learn of a report at once. The others, which would
+	// take over 14 s after the end of a window, learn of it when the next window is collected.
+	notifiedCandidates = 16
+	notifyTimeout      = 500 * time.Millisecond
+)
+
+// request returns what the holder tells other instances.
+func (r *Reporter) request() usage.Request {
+	return usage.Request{Holder: r.Self, Token: r.ledger.Claim.Token, Recorded: r.ledger.Last}
+}
+
+// collect begins to collect the counts of a window.
+func (r *Reporter) collect(ctx context.Context, window int64) {
+	if !r.Usage {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.collected = &usage.Result{Window: window}
+		return
+	}
+	req := r.request()
+	req.Window = window
+	collectCtx, cancel := context.WithCancel(ctx)
+	r.mu.Lock()
+	r.collecting, r.collected, r.cancelCollecting = window, nil, cancel
+	r.mu.Unlock()
+	background.Go(r.Logger, "collect usage", func() {
+		defer cancel()
+		result := r.Collector.Collect(collectCtx, req, func(ctx context.Context) {
+			hint := req
+			hint.Window, hint.Pending = 0, window
+			r.tell(ctx, hint)
+		})
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.collecting != window {
+			return
+		}
+		r.collecting = 0
+		if collectCtx.Err() == nil {
+			r.collected = &result
+		}
+	})
+}
+
+func (r *Reporter) stopCollecting() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cancelCollecting != nil {
+		r.cancelCollecting()
+	}
+	r.collecting, r.collected = 0, nil
+}
+
+// record appends the counts that have been collected.
+func (r *Reporter) record(ctx context.Context, window int64) {
+	r.mu.Lock()
+	result := *r.collected
+	r.mu.Unlock()
+	counts := result.Counts
+	if counts == nil {
+		counts = usage.Counts{}
+	}
+	_, ok := r.append(ctx, "report", reportKey(window), record{Token: r.ledger.Claim.Token, Window: window, Counts: counts})
+	if !ok {
+		return
+	}
+	r.mu.Lock()
+	r.collected = nil
+	r.mu.Unlock()
+	if len(result.Unknown) > 0 {
+		r.Stats.incomplete.Inc()
+		r.Logger.Warn("usage of some instances is unknown", zap.Int64("window", window), zap.Strings("instances", result.Unknown))
+	}
+	total := int64(0)
+	for _, n := range counts {
+		total += n
+	}
+	r.Logger.Info("usage recorded", zap.Int64("window", window), zap.Int64("runs", total), zap.Int("teams", len(counts)),
+		zap.Strings("witnessed", result.Witnessed), zap.Duration("after", r.Clock.Now().Sub(r.Windows.End(window))))
+	r.notify(ctx, window)
+}
+
+// notify tells candidates in the background of a claim and of the newest report.
+func (r *Reporter) notify(ctx context.Context, window int64) {
+	req := r.request()
+	req.Recorded = max(req.Recorded, window)
+	background.Go(r.Logger, "notify candidates", func() { r.tell(ctx, req) })
+}
+
+// tell sends a hint to the first candidates.
+func (r *Reporter) tell(ctx context.Context, req usage.Request) {
+	r.mu.Lock()
+	ranked := r.ranked
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
+	defer cancel()
+	var calls errgroup.Group
+	for _, name := range ranked[:min(len(ranked), notifiedCandidates)] {
+		if name == r.Self {
+			continue
+		}
+		calls.Go(func() error {
+			if _, err := r.Notifier.Usage(ctx, name, req); err != nil {
+				r.Logger.Debug("candidate not notified", zap.String("instance", name), telemetry.Err(err))
+			}
+			return nil
+		})
+	}
+	_ = calls.Wait()
+}
+
+// send sends the report of a window as it is in the log.
+func (r *Reporter) send(ctx context.Context, window int64) {
+	report, token := r.seen[window], r.ledger.Claim.Token
+	began := r.Clock.Boot()
+	callCtx, cancel := context.WithTimeout(ctx, r.Bounds.CallTimeout())
+	defer cancel()
+	if began-r.verifiedAt >= r.Bounds.maxVerifiedAge() {
+		return // this process has been frozen since the step was decided
+	}
+	err := r.Platform.ReportUsage(callCtx, r.Self, token, window, report.Counts)
+	delay := r.Clock.Now().Sub(r.Windows.End(window))
+	r.callFrom = began + r.Bounds.callInterval()
+	switch {
+	case err == nil:
+		r.Stats.countCall("usage", resultOK)
+		r.Stats.lateness.Update(delay.Seconds())
+		r.callPause = 0
+		r.delivered[window] = true
+		if delay > r.Bounds.Late {
+			r.Stats.late.Inc()
+		}
+		r.Logger.Info("usage reported", zap.Int64("window", window), zap.Int64("token", token), zap.Duration("after", delay), zap.Bool("late", delay > r.Bounds.Late))
+	case errors.Is(err, ErrCallLimit):
+		r.Stats.countCall("usage", resultLimited)
+		r.callFrom = r.Clock.Boot() + max(r.Bounds.callInterval(), tickInterval)
+		r.Logger.Info("platform limits calls, sending the usage report again later", zap.Int64("window", window))
+	default:
+		r.Stats.countCall("usage", resultFailed)
+		pause := callPause
+		if r.callPause == 0 {
+			pause = firstCallPause
+		}
+		r.callPause = pause
+		r.callFrom = r.Clock.Boot() + max(pause, r.Bounds.callInterval())
+		r.Logger.Warn("usage report failed", zap.Int64("window", window), zap.Int64("token", token), zap.Duration("after", delay), zap.Duration("retry_after", pause), telemetry.Err(err))
+	}
+}
+
+// expire forgets reports that are too old to be sent.
+func (r *Reporter) expire(now time.Time) {
+	for window := range r.seen {
+		if r.current(window, now) {
+			continue
+		}
+		if r.wasHolder && r.Usage && !r.delivered[window] {
+			r.Stats.missed.Inc()
+			r.Logger.Error("usage report not taken in time", zap.Int64("window", window))
+		}
+		delete(r.seen, window)
+		delete(r.delivered, window)
+	}
+}
+
+// current reports whether the report of a window is still worth sending.
+func (r *Reporter) current(window int64, now time.Time) bool {
+	return now.Sub(r.Windows.End(window)) < reportTTL
+}
--- a/internal/entryrpc/messages.go
+++ b/internal/entryrpc/messages.go
@@ -12,6 +12,7 @@
 	pathTopic  = "/v1/entry/topic"
 	pathCrash  = "/v1/entry/crash-report"
 	pathOrigin = "/v1/entry/stream-origin"
+	pathUsage  = "/v1/entry/usage"
 )
 
 // returnRequest returns borrowed tokens that were not spent.
--- a/internal/entryrpc/server.go
+++ b/internal/entryrpc/server.go
@@ -13,6 +13,7 @@
 	"github.com/jacinthbend/jacinthbend/internal/streamorigin"
 	"github.com/jacinthbend/jacinthbend/internal/tokenquota"
 	"github.com/jacinthbend/jacinthbend/internal/topicwatch"
+	"github.com/jacinthbend/jacinthbend/internal/usage"
 )
 
 // maxWait bounds how long a topic call may wait for records.
@@ -41,6 +42,19 @@
 	Answer(ctx context.Context, service, id string) streamorigin.Answer
 }
 
+// UsageCounter has the counts of this instance.
+type UsageCounter interface {
+	AnswerUsage(req usage.Request) usage.Answer
+}
+
+// RegisterUsage adds a handler for the question of the holder of the duty for the counts of this
+// instance.
+func RegisterUsage(r *route.Engine, counter UsageCounter) {
+	peer.Handle(r, pathUsage, func(_ context.Context, req usage.Request) (usage.Answer, error) {
+		return counter.AnswerUsage(req), nil
+	})
+}
+
 // Register adds handlers for the calls of other entry instances to r.
 func Register(r *route.Engine, lender Lender, cache TopicCache, crashes CrashTable, origins Origins) {
 	peer.Handle(r, pathOrigin, func(ctx context.Context, req originRequest) (streamorigin.Answer, error) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -71,9 +71,19 @@
 	if resp.Status/100 == 2 && r.route.Kind == fleet.Streaming && attrs.Stamped && !attrs.Encoded {
 		return r.relayStream(ctx, detector, choice, ticket, resp, attrs)
 	}
+	r.countRun()
 	return r.relayBuffered(ctx, detector, choice, ticket, resp, attrs)
 }
 
+// countRun counts that an upstream has begun to run the request. An attempt whose response never came
+// is not counted: an engine that ends or freezes has usually not come to the first token, and a plain
+// call without a response has usually not arrived.
+func (r *request) countRun() {
+	if r.g.Runs != nil && r.team != nil {
+		r.g.Runs.Ran(r.team.Name)
+	}
+}
+
 // attemptFailed handles an attempt without a valid response.
 func (r *request) attemptFailed(ctx context.Context, detector *stallDetector, choice *upstream.Choice, ticket *upstream.Ticket, err error) attemptResult {
 	var f *upstreamclient.Failure
@@ -277,6 +287,7 @@
 	}
 	header := r.g.Dialect.AnswerHeader(resp.Header)
 	buf := make([]byte, streamBufferBytes)
+	counted := false
 	fallback := 0
 	if r.fallback != nil {
 		fallback = r.fallback.body.capacity
@@ -292,6 +303,10 @@
 		if len(events) > 0 {
 			detector.eventReceived()
 			r.eventsReceived(ticket, r.events.Events-before)
+			if !counted {
+				counted = true
+				r.countRun()
+			}
 			r.recordOrigin(choice.Upstream)
 			r.startStream(resp.Status, header)
 			r.lastEventAt = time.Now()
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -27,6 +27,12 @@
 	Permit(ctx context.Context, agentAddr string, req agentapi.PermitRequest) (agentapi.PermitResponse, error)
 }
 
+// RunCounter counts the requests that upstreams began to run.
+type RunCounter interface {
+	// Ran is called when the first event of a stream or the header of another response arrives.
+	Ran(team string)
+}
+
 // Options are the dependencies of a gateway.
 type Options struct {
 	Dialect        Dialect
@@ -39,7 +45,9 @@
 	Loader     Loader
 	// Origins knows which software versions began streams; nil stands for a tracker of this
 	// instance alone.
-	Origins    *streamorigin.Tracker
+	Origins *streamorigin.Tracker
+	// Runs counts the requests that upstreams began to run; it may be nil.
+	Runs       RunCounter
 	Lifecycle  *lifecycle.Machine
 	DataCentre string
 	// Buffers bounds the bytes of responses that all requests together buffer; nil stands for
--- a/internal/managed/crash_cluster_test.go
+++ b/internal/managed/crash_cluster_test.go
@@ -46,7 +46,7 @@
 	engineDowntime = 300 * time.Millisecond
 )
 
-func newCrashCluster(t *testing.T, entries, engines int) *crashCluster {
+func newCrashCluster(t *testing.T, entries, engines int, set ...func(*settings.Managed)) *crashCluster {
 	check := is.New(t)
 	c := &crashCluster{t: t, store: platformtest.NewStore()}
 	storeAddr := startFakeServer(t, c.store)
@@ -67,6 +67,9 @@
 				ColdOver: 1.5, ColdSlack: 5, LoadWindowS: 5, LoadOver: 1.1,
 			},
 		})
+		for _, f := range set {
+			f(&c.entries[i])
+		}
 		c.stops = append(c.stops, nil)
 		c.startEntry(i)
 	}
--- /dev/null
+++ b/internal/managed/duties.go
@@ -0,0 +1,64 @@
+package managed
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"github.com/jacinthbend/jacinthbend/internal/boottime"
+	"github.com/jacinthbend/jacinthbend/internal/duty"
+	"github.com/jacinthbend/jacinthbend/internal/entryrpc"
+	"github.com/jacinthbend/jacinthbend/internal/fleet"
+	"github.com/jacinthbend/jacinthbend/internal/settings"
+	"github.com/jacinthbend/jacinthbend/internal/usage"
+	"github.com/jacinthbend/jacinthbend/platform"
+)
+
+// duties are the components for the calls that are the duty of one entry instance at a time.
+type duties struct {
+	clock    *usage.Clock
+	counter  *usage.Counter
+	reporter *duty.Reporter
+}
+
+// newDuties returns the components, or nil if the settings name no duty.
+func newDuties(s settings.Managed, store *platform.Store, client *entryrpc.Client, set *metrics.Set, logger *zap.Logger) *duties {
+	if !s.Duties.Has(settings.DutyUsage) && !s.Duties.Has(settings.DutyAutoscale) {
+		return nil
+	}
+	start := rand.Uint64()
+	windows := usage.Windows{Length: s.UsageWindow()}
+	d := &duties{clock: usage.NewClock(time.Now(), boottime.Now)}
+	d.counter = usage.NewCounter(start, d.clock, windows, s.FirstStart)
+	peers := entryrpc.NewUsageClient(client)
+	d.reporter = duty.NewReporter(duty.Options{
+		Self: s.Instance, Start: start, FirstStart: s.FirstStart, Usage: s.Duties.Has(settings.DutyUsage),
+		Bounds: duty.Bounds{Lease: s.DutyLease(), Window: s.UsageWindow(), Late: s.UsageLate(), CallsPerSecond: s.Duties.CallsPerS},
+		Clock:  d.clock, Windows: windows, Log: dutyLog{store: store}, Platform: platform.NewCloud(s.Duties.Addr),
+		Collector: usage.NewCollector(usage.CollectorOptions{
+			Self: s.Instance, Counter: d.counter, Clock: d.clock, Windows: windows, Peers: peers, Logger: logger,
+		}),
+		Notifier: peers, Fence: fence, Stats: duty.NewStats(set), Logger: logger,
+	})
+	return d
+}
+
+var _ entryrpc.UsageCounter = (*duties)(nil)
+
+// AnswerUsage implements entryrpc.UsageCounter.
+func (d *duties) AnswerUsage(req usage.Request) usage.Answer {
+	if req.CorrectionMS != nil {
+		d.clock.Correct(time.Duration(*req.CorrectionMS) * time.Millisecond)
+	}
+	d.reporter.Told(req)
+	return d.counter.Answer(req.Window)
+}
+
+// setView applies a new view of the fleet.
+func (d *duties) setView(v *fleet.View) { d.reporter.SetMembers(v.EntryNames()) }
+
+// run takes part in the duties until ctx ends.
+func (d *duties) run(ctx context.Context) { d.reporter.Run(ctx) }
--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -61,6 +61,8 @@
 	metrics       *metrics.Set
 	// budget bounds what the listeners and the gateway hold for clients.
 	budget *clientbudget.Budget
+	// duties is nil if the settings name no duty.
+	duties *duties
 }
 
 // RunEntry runs an entry instance until ctx ends, and then drains it.
@@ -90,6 +92,11 @@
 	p.run(jobs, "read agent states", e.agentReader.Run)
 	p.run(jobs, "close idle connections", e.pruneConnections)
 	p.run(jobs, "request store loads", e.requestStoreLoads)
+	dutyJobs, stopDuties := context.WithCancel(jobs)
+	defer stopDuties()
+	if e.duties != nil {
+		p.run(dutyJobs, "duties", e.duties.run)
+	}
 	p.run(jobs, "announce", func(ctx context.Context) {
 		// The member record of an earlier start tells that there was one.
 		select {
@@ -104,6 +111,8 @@
 	logger.Info("started", zap.String("role", "entry"), zap.Bool("first_start", s.FirstStart))
 	e.waitReady(ctx)
 	<-ctx.Done()
+	// The next candidate takes the duty over, while this instance still answers for what it counted.
+	stopDuties()
 	return e.drain()
 }
 
@@ -143,7 +152,9 @@
 	crashes := quarantine.NewTable()
 	e.crashReports = newCrashReports(s.Instance, crashes, e.store, entryrpc.NewCrashSender(e.entryClient), e.entryCount, e.logger)
 	e.origins = streamorigin.New(streamorigin.Options{Log: streamLog{instance: s.Instance, store: e.store}, Peers: e.entryClient, Entries: e.entryCount, Logger: e.logger, RefreshList: e.refreshUpstreams})
+	e.duties = newDuties(s, e.store, e.entryClient, e.metrics, e.logger)
 	e.gateway = gateway.New(gateway.Options{
+		Runs:       e.runCounter(),
 		Origins:    e.origins,
 		Quarantine: crashes, Dialect: dialect, Pool: e.pool, UpstreamClient: e.exchange, Quota: e.quota,
 		RetryBudget: retrybudget.New(retrybudget.Bounds{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.RetryWindow()}),
@@ -164,8 +175,14 @@
 			e.era.set(era)
 			crashes.Republish()
 			e.quota.RequestCheckpoint()
+			if e.duties != nil {
+				e.duties.reporter.SetEra(era)
+			}
 		},
 		OnChange: func(v *fleet.View) {
+			if e.duties != nil {
+				e.duties.setView(v)
+			}
 			crashes.SetInstances(v.EntryRank(s.Instance), v.EntryCount())
 			e.gateway.Update(v)
 		},
@@ -179,6 +196,14 @@
 	return nil
 }
 
+// runCounter returns what counts runs for usage reports, nil if nothing does.
+func (e *entry) runCounter() gateway.RunCounter {
+	if e.duties == nil {
+		return nil
+	}
+	return e.duties.counter
+}
+
 // refreshUpstreams reads the list of upstreams from the store itself, since a relay may be out of step,
 // too.
 func (e *entry) refreshUpstreams(ctx context.Context) error {
@@ -229,6 +254,9 @@
 		return err
 	}
 	entryrpc.Register(peers.Engine, e.quota, e.follower, e.gateway.Quarantine, e.origins)
+	if e.duties != nil {
+		entryrpc.RegisterUsage(peers.Engine, e.duties)
+	}
 	e.agentRelay.Register(peers.Engine)
 	operators, err := newOperatorServer(s.OperatorAddr(), e.budget, e.metrics, e.ready)
 	if err != nil {
--- a/internal/managed/process.go
+++ b/internal/managed/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"reflect"
 	"time"
 
 	"go.uber.org/zap"
@@ -61,7 +62,7 @@
 		p.Logger.Error("settings not reloaded", telemetry.Err(err))
 		return current
 	}
-	if s == current {
+	if reflect.DeepEqual(s, current) {
 		return current
 	}
 	level, err := zapcore.ParseLevel(s.LogLevel)
--- a/internal/settings/managed.go
+++ b/internal/settings/managed.go
@@ -38,6 +38,8 @@
 	// LogLevel is debug, info, warn or error. Default info.
 	LogLevel string        `json:"log_level,omitempty"`
 	Bounds   ManagedBounds `json:"bounds"`
+	// Duties are the calls to the platform that are the duty of one entry instance at a time.
+	Duties Duties `json:"duties,omitzero"`
 }
 
 // LoadManaged reads the file at path, applies override and validates the result.
@@ -75,6 +77,7 @@
 			c.add(field, fmt.Sprint(v), "must not be negative")
 		}
 	}
+	s.Duties.check(c, s.Bounds)
 	c.logLevel(s.LogLevel)
 	if s.CPUShare < 0 {
 		c.add("cpu_share", fmt.Sprint(s.CPUShare), "must not be negative")
@@ -86,6 +89,7 @@
 	if s.LogLevel == "" {
 		s.LogLevel = defaultLogLevel
 	}
+	s.Bounds.setDutyDefaults()
 }
 
 // PeerAddr is where other Jacinthbend processes reach this one. An agent uses the
@@ -110,6 +114,17 @@
 	return 0
 }
 
+// DutyLease is within which time two holders of a duty must not take turns.
+func (s *Managed) DutyLease() time.Duration {
+	return time.Duration(s.Bounds.DutyLeaseMS * float64(time.Millisecond))
+}
+
+// UsageWindow is the length of the windows of usage reports.
+func (s *Managed) UsageWindow() time.Duration { return seconds(s.Bounds.UsageWindowS) }
+
+// UsageLate is how long after the end of a window its usage report is due.
+func (s *Managed) UsageLate() time.Duration { return seconds(s.Bounds.UsageLateS) }
+
 // GracePeriod is the time between SIGTERM and SIGKILL.
 func (s *Managed) GracePeriod() time.Duration { return seconds(s.Bounds.GraceS) }
 
--- a/internal/settings/managed_bounds.go
+++ b/internal/settings/managed_bounds.go
@@ -31,4 +31,40 @@
 	// are counted. LoadOver is the permitted rate divided by the configured rate.
 	LoadWindowS float64 `json:"load_window_s"`
 	LoadOver    float64 `json:"load_over"`
+	// UsageWindowS is the length of a window of usage reports, in seconds; default 5. A count
+	// may differ from the true one by the fraction UsageTolerance, default 0.05. A report is
+	// due UsageLateS seconds after the end of its window; default 10.
+	UsageWindowS   float64 `json:"usage_window_s,omitempty"`
+	UsageTolerance float64 `json:"usage_tolerance,omitempty"`
+	UsageLateS     float64 `json:"usage_late_s,omitempty"`
+	// DutyLeaseMS is within which time two holders of a duty must not take turns, in
+	// milliseconds; default 3000.
+	DutyLeaseMS float64 `json:"duty_lease_ms,omitempty"`
+	// RequireFence tells that the platform checks the fencing tokens of calls that are a duty.
+	// They are sent in any case.
+	RequireFence bool `json:"require_fence,omitempty"`
+}
+
+// Defaults of the bounds of duties, which are the platform's.
+const (
+	defaultUsageWindowS   = 5
+	defaultUsageTolerance = 0.05
+	defaultUsageLateS     = 10
+	defaultDutyLeaseMS    = 3000
+)
+
+func (b *ManagedBounds) setDutyDefaults() {
+	for _, d := range []struct {
+		field *float64
+		value float64
+	}{
+		{&b.UsageWindowS, defaultUsageWindowS},
+		{&b.UsageTolerance, defaultUsageTolerance},
+		{&b.UsageLateS, defaultUsageLateS},
+		{&b.DutyLeaseMS, defaultDutyLeaseMS},
+	} {
+		if *d.field == 0 {
+			*d.field = d.value
+		}
+	}
 }
--- a/internal/topicwatch/name.go
+++ b/internal/topicwatch/name.go
@@ -16,4 +16,7 @@
 	// Streams holds the records of entry instances on which software versions began streams.
 	// It is a log: its records expire and none replaces another.
 	Streams Name = "streams"
+	// Duties holds the claims of duties that one entry instance has at a time, and what their
+	// holders did. Each record is appended on the condition that its writer knows all before it.
+	Duties Name = "duties"
 )
--- a/internal/topicwatch/source.go
+++ b/internal/topicwatch/source.go
@@ -22,6 +22,10 @@
 // ErrExpired means that the topic has to be listed again.
 var ErrExpired = errors.New("topic records have expired")
 
+// ErrEndMoved means that a record was not appended, because the log did not end where its writer
+// expected.
+var ErrEndMoved = errors.New("the log does not end where the record was to be written")
+
 // Decoder decodes records. It returns an error for a record that it does not
 // understand, such as one of another writer; the follower skips that record.
 type Decoder interface {
--- /dev/null
+++ b/internal/usage/answer.go
@@ -0,0 +1,37 @@
+package usage
+
+import "time"
+
+// Request asks an entry instance for its counts of a window.
+type Request struct {
+	// Holder is the instance that has the duty to report, and Token its fencing token.
+	Holder string `json:"holder"`
+	Token  int64  `json:"token"`
+	// Window is the window that is asked for, 0 for none.
+	Window int64 `json:"window,omitempty"`
+	// Recorded is the newest window whose counts are in the log, 0 for none.
+	Recorded int64 `json:"recorded,omitempty"`
+	// Pending is a window for whose counts the holder still waits, 0 for none.
+	Pending int64 `json:"pending,omitempty"`
+	// CorrectionMS is what the called instance has to add to its clock, in ms; nil if its clock is
+	// right as far as known.
+	CorrectionMS *int64 `json:"correction_ms,omitempty"`
+}
+
+// Answer has the counts of an instance in a window.
+type Answer struct {
+	// Start is the random number of this run of the process.
+	Start uint64 `json:"start"`
+	// Own are the counts of this run.
+	Own Counts `json:"own,omitempty"`
+	// Earlier are those of earlier runs. They are complete if EarlierKnown is set.
+	Earlier      Counts `json:"earlier,omitempty"`
+	EarlierKnown bool   `json:"earlier_known,omitempty"`
+	// ClockUS is the instance's clock, in microseconds after the start of 1970, and CorrectionMS
+	// what it adds to its machine's clock.
+	ClockUS      int64 `json:"clock_us"`
+	CorrectionMS int64 `json:"correction_ms,omitempty"`
+}
+
+// clock returns the instance's clock.
+func (a Answer) clock() time.Time { return time.UnixMicro(a.ClockUS) }
