--- a/internal/duty/decide.go
+++ b/internal/duty/decide.go
@@ -89,9 +89,13 @@
 	earlierStart := l.claimed() && l.Claim.Holder == s.Self
 	unclaimed := !l.claimed() && (s.WasHolder || rank == 0)
 	gone := l.claimed() && rank == 0 && !slices.Contains(s.Ranked, l.Claim.Holder)
-	if earlierStart || unclaimed || gone {
+	silent := l.claimed() && s.Silent == l.Claim.Token
+	if earlierStart || unclaimed || gone || silent {
 		return Step{ClaimDuty, s.claimFrom()}
 	}
+	if s.perhapsNotSent(rank) {
+		return Step{Kind: Ping}
+	}
 	overdue := s.overdue(rank)
 	switch {
 	case s.Now.Before(overdue):
@@ -103,6 +107,15 @@
 	}
 }
 
+// perhapsNotSent reports whether a report is in the log that the holder may not have sent: it has not
+// said so, although it did for the window before. A holder that never told this instance anything,
+// because a link is cut, is not suspected each time.
+func (s *Situation) perhapsNotSent(rank int) bool {
+	l := s.Ledger
+	known := l.claimed() && l.Claim.Token == s.Hint.Token && l.Last == s.Hint.Recorded+1
+	return known && !s.Now.Before(s.Windows.End(l.Last).Add(overdueAfter+time.Duration(rank)*rankDelay))
+}
+
 // rank returns the place of this instance among the candidates, without the instance that has the
 // duty.
 func (s *Situation) rank() int {
--- a/internal/duty/reporter.go
+++ b/internal/duty/reporter.go
@@ -25,6 +25,7 @@
 	// Only the loop uses these.
 	ledger     *Ledger
 	readAt     time.Time
+	silent     int64
 	uncertain  bool
 	wasHolder  bool
 	actFrom    time.Duration
@@ -37,6 +38,8 @@
 	// delivered those that the platform has taken.
 	seen      map[int64]Report
 	delivered map[int64]bool
+	// notified is the window of which candidates have been told last.
+	notified int64
 
 	firstWindow int64
 
@@ -124,7 +127,7 @@
 		Now: now, Boot: r.Clock.Boot(), Windows: r.Windows, Bounds: r.Bounds,
 		Self: r.Self, Start: r.Start, FirstStart: r.FirstStart, Ranked: r.ranked,
 		Ledger: r.ledger, ReadAt: r.readAt, StoreEra: r.storeEra, EraWindow: r.eraWindow, FirstWindow: r.firstWindow,
-		Hint: r.hint, WasHolder: r.wasHolder, ActFrom: r.actFrom, VerifiedAt: r.verifiedAt, LogFrom: r.logFrom, CallFrom: r.callFrom,
+		Hint: r.hint, Silent: r.silent, WasHolder: r.wasHolder, ActFrom: r.actFrom, VerifiedAt: r.verifiedAt, LogFrom: r.logFrom, CallFrom: r.callFrom,
 		Collecting: r.collecting,
 	}
 	if r.collected != nil {
@@ -148,6 +151,8 @@
 	switch step.Kind {
 	case ReadLog:
 		r.read(ctx)
+	case Ping:
+		r.ping(ctx)
 	case ClaimDuty:
 		r.claim(ctx, step.Window)
 	case Collect:
--- a/internal/duty/reporter_log.go
+++ b/internal/duty/reporter_log.go
@@ -151,5 +151,5 @@
 	r.Stats.claims.Inc()
 	r.Stats.token.Store(r.ledger.Claim.Token)
 	r.Logger.Info("claimed the duty", zap.Int64("token", r.ledger.Claim.Token), zap.String("before", before.Holder), zap.Int64("last_window", r.ledger.Last), zap.Int64("from", from), zap.Duration("acts_after", r.actFrom-boot))
-	r.notify(ctx, 0)
+	r.notify(ctx)
 }
--- a/internal/duty/reporter_usage.go
+++ b/internal/duty/reporter_usage.go
@@ -98,13 +98,27 @@
 	}
 	r.Logger.Info("usage recorded", zap.Int64("window", window), zap.Int64("runs", total), zap.Int("teams", len(counts)),
 		zap.Strings("witnessed", result.Witnessed), zap.Duration("after", r.Clock.Now().Sub(r.Windows.End(window))))
-	r.notify(ctx, window)
+	if !r.Usage {
+		r.notify(ctx)
+	}
+}
+
+// ping asks the holder whether it is alive.
+func (r *Reporter) ping(ctx context.Context) {
+	claim, last := r.ledger.Claim, r.ledger.Last
+	callCtx, cancel := context.WithTimeout(ctx, notifyTimeout)
+	defer cancel()
+	if _, err := r.Notifier.Usage(callCtx, claim.Holder, usage.Request{}); err != nil {
+		r.Logger.Warn("holder of the duty does not answer and may not have sent a report", zap.String("holder", claim.Holder), zap.Int64("window", last), telemetry.Err(err))
+		r.silent = claim.Token
+		return
+	}
+	r.Told(usage.Request{Holder: claim.Holder, Token: claim.Token, Recorded: last})
 }
 
 // notify tells candidates in the background of a claim and of the newest report.
-func (r *Reporter) notify(ctx context.Context, window int64) {
+func (r *Reporter) notify(ctx context.Context) {
 	req := r.request()
-	req.Recorded = max(req.Recorded, window)
 	background.Go(r.Logger, "notify candidates", func() { r.tell(ctx, req) })
 }
 
@@ -140,6 +154,10 @@
 		return // this process has been frozen since the step was decided
 	}
 	err := r.Platform.ReportUsage(callCtx, r.Self, token, window, report.Counts)
+	if window == r.ledger.Last && r.notified != window {
+		r.notified = window
+		r.notify(ctx)
+	}
 	delay := r.Clock.Now().Sub(r.Windows.End(window))
 	r.callFrom = began + r.Bounds.callInterval()
 	switch {
--- /dev/null
+++ b/internal/duty/sim_test.go
@@ -0,0 +1,218 @@
+package duty_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/jacinthbend/jacinthbend/internal/duty"
+	"github.com/jacinthbend/jacinthbend/internal/usage"
+	"github.com/jacinthbend/jacinthbend/platform/platformtest"
+)
+
+// truth are the runs that began, by window and team.
+type truth map[int64]map[string]int64
+
+func (t truth) add(window int64, team string) {
+	if t[window] == nil {
+		t[window] = make(map[string]int64)
+	}
+	t[window][team]++
+}
+
+// sim is a fleet in virtual time.
+type sim struct {
+	t       *testing.T
+	ctx     context.Context
+	began   time.Time
+	windows usage.Windows
+	bounds  duty.Bounds
+	log     *fakeLog
+	cloud   *platformtest.Cloud
+	names   []string
+	// witnesses tells that instances have witnesses.
+	witnesses  bool
+	loseAnswer atomic.Bool
+	// slow is how long a call to the platform takes in addition.
+	slow   atomic.Int64
+	logger *zap.Logger
+
+	mu       sync.Mutex
+	nodes    map[string]*node
+	sections map[string][]byte
+	truth    truth
+	// at is the step at which fault is injected into the instance that makes it, once fromWindow
+	// has begun.
+	at         string
+	fault      func(n *node)
+	fromWindow int64
+}
+
+const tolerance = 0.05
+
+// run runs a fleet for some time and then f, which checks it.
+func run(t *testing.T, instances int, d time.Duration, prepare func(*sim), f func(*sim, *is.I)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &sim{
+			t: t, ctx: ctx, began: time.Now(), windows: usage.Windows{Length: 5 * time.Second},
+			bounds: duty.Bounds{Lease: 3 * time.Second, Window: 5 * time.Second, Late: 10 * time.Second, CallsPerSecond: 4},
+			log:    &fakeLog{era: 1}, nodes: make(map[string]*node), sections: make(map[string][]byte), witnesses: true, truth: make(truth), logger: zap.NewNop(),
+		}
+		s.cloud = platformtest.NewCloud(platformtest.CloudOptions{Lease: s.bounds.Lease, Thaw: 300 * time.Millisecond, CallsPerSecond: 4})
+		for i := range instances {
+			s.names = append(s.names, fmt.Sprintf("edge-%02d", i))
+		}
+		prepare(s)
+		for _, name := range s.names {
+			if s.node(name) == nil {
+				s.startNode(name, true, 0)
+			}
+		}
+		defer func() {
+			cancel()
+			for _, name := range s.names {
+				s.node(name).killed.Store(true)
+			}
+			time.Sleep(time.Minute) // the goroutines end
+		}()
+		time.Sleep(d)
+		f(s, is.New(t))
+	})
+}
+
+func (s *sim) node(name string) *node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.nodes[name]
+}
+
+func (s *sim) section(name string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sections[name]
+}
+
+func (s *sim) setSection(name string, section []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sections[name] = section
+}
+
+func (s *sim) ran(team string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.truth.add(s.windows.At(time.Now()), team)
+}
+
+// step injects the fault if it is due.
+func (s *sim) step(n *node, step string) {
+	s.mu.Lock()
+	fault := s.fault
+	if fault == nil || step != s.at || s.windows.At(time.Now()) < s.fromWindow || n.killed.Load() {
+		s.mu.Unlock()
+		return
+	}
+	s.fault = nil
+	s.mu.Unlock()
+	fault(n)
+}
+
+// restart starts a killed instance again after some time.
+func (s *sim) restart(n *node, after time.Duration) {
+	n.killed.Store(true)
+	s.after(after, func() { s.startNode(n.name, false, 0) })
+}
+
+func (s *sim) freeze(n *node, d time.Duration) {
+	n.frozen.Store(true)
+	s.after(d, func() {
+		s.cloud.Resumed(n.name)
+		n.frozen.Store(false)
+	})
+}
+
+func (s *sim) cut(n *node, d time.Duration, links ...*atomic.Bool) {
+	for _, l := range links {
+		l.Store(true)
+	}
+	s.after(d, func() {
+		s.cloud.Resumed(n.name)
+		for _, l := range links {
+			l.Store(false)
+		}
+	})
+}
+
+// after calls f after some time, unless the test has ended.
+func (s *sim) after(d time.Duration, f func()) {
+	go func() {
+		time.Sleep(d)
+		if s.ctx.Err() == nil {
+			f()
+		}
+	}()
+}
+
+// outage makes something unavailable for some time.
+func (s *sim) outage(set func(down bool), d time.Duration) {
+	set(true)
+	s.after(d, func() { set(false) })
+}
+
+// check returns the windows that were not reported, or not in time, or not exactly. It leaves out those
+// that are not due yet.
+func (s *sim) check() (missed, late, wrong []int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for w := s.windows.At(s.began); time.Since(s.windows.End(w)) > s.bounds.Late; w++ {
+		report, ok := s.cloud.Report(w)
+		switch {
+		case !ok:
+			missed = append(missed, w)
+			continue
+		case report.At.Sub(s.windows.End(w)) > s.bounds.Late:
+			late = append(late, w)
+		}
+		for team, n := range s.truth[w] {
+			if math.Abs(float64(report.Counts[team]-n)) > tolerance*float64(n) {
+				wrong = append(wrong, w)
+				break
+			}
+		}
+	}
+	return missed, late, wrong
+}
+
+// restore brings the log back from a copy, which all instances notice by and by from their other
+// calls.
+func (s *sim) restore(lost int) {
+	s.log.restore(lost)
+	for i, name := range s.names {
+		s.after(time.Duration(i)*300*time.Millisecond, func() { s.node(name).SetEra(s.log.currentEra()) })
+	}
+}
+
+// holder returns the instance that made the newest claim.
+func (s *sim) holder() *node {
+	s.log.mu.Lock()
+	defer s.log.mu.Unlock()
+	var claim struct {
+		Holder string `json:"holder"`
+	}
+	for _, it := range s.log.items {
+		if it.Key == "usage" {
+			_ = json.Unmarshal(it.Value, &claim)
+		}
+	}
+	return s.node(claim.Holder)
+}
--- a/internal/duty/situation.go
+++ b/internal/duty/situation.go
@@ -32,6 +32,8 @@
 	// FirstWindow is the window in which this instance started.
 	FirstWindow int64
 	Hint        Hint
+	// Silent is the token of a claim whose holder did not answer a Ping, 0 if there is none.
+	Silent int64
 	// WasHolder tells that this instance had the duty when it last read the log.
 	WasHolder bool
 	// ActFrom is the boot time from which on the holder may make calls, and VerifiedAt that at
--- a/internal/duty/step.go
+++ b/internal/duty/step.go
@@ -9,6 +9,8 @@
 	Wait StepKind = iota
 	// ReadLog reads the log, which also verifies a claim.
 	ReadLog
+	// Ping asks the holder whether it is alive.
+	Ping
 	// ClaimDuty appends a claim.
 	ClaimDuty
 	// Collect begins to collect the counts of a window.
