Keep the counts of each run of an instance apart

Cause: an instance that restarts within a window would replace what its earlier run had counted. Change: counts are kept by instance and run, and added up in the report.

--- a/internal/duty/fake_node_test.go
+++ b/internal/duty/fake_node_test.go
@@ -35,9 +35,6 @@
 	n := &node{sim: s, name: name, start: rand.Uint64()}
 	n.clock = usage.NewClock(time.Now().Add(clockError), func() time.Duration { n.gate(); return time.Since(s.began) })
 	n.counter = usage.NewCounter(n.start, n.clock, s.windows, first)
-	if !first {
-		_ = n.counter.RestoreEarlier(s.section(name))
-	}
 	collector := usage.NewCollector(usage.CollectorOptions{Self: name, Counter: n.counter, Clock: n.clock, Windows: s.windows, Peers: n, Witnesses: n, Logger: zap.NewNop()})
 	n.Reporter = duty.NewReporter(duty.Options{
 		Self: name, Start: n.start, FirstStart: first, Usage: true, Bounds: s.bounds, Clock: n.clock, Windows: s.windows,
@@ -87,7 +84,7 @@
 			}
 		}
 		if section, err := n.counter.Section(); err == nil && !n.cutPeers.Load() {
-			n.sim.setSection(n.name, section)
+			n.sim.setSection(n, section)
 		}
 	}
 }
@@ -166,12 +163,6 @@
 	return to.counter.Answer(req.Window), nil
 }
 
-func (n *node) Sections(_ context.Context, names []string) (map[string]json.RawMessage, error) {
-	out := make(map[string]json.RawMessage)
-	for _, name := range names {
-		if s := n.sim.section(name); s != nil && n.sim.witnesses {
-			out[name] = s
-		}
-	}
-	return out, nil
+func (n *node) Sections(_ context.Context, names []string) (map[string][]json.RawMessage, error) {
+	return n.sim.sectionsOf(names), nil
 }
--- a/internal/duty/sim_test.go
+++ b/internal/duty/sim_test.go
@@ -31,16 +31,14 @@
 
 // sim is a fleet in virtual time.
 type sim struct {
-	t       *testing.T
-	ctx     context.Context
-	began   time.Time
-	windows usage.Windows
-	bounds  duty.Bounds
-	log     *fakeLog
-	cloud   *platformtest.Cloud
-	names   []string
-	// witnesses tells that instances have witnesses.
-	witnesses  bool
+	t          *testing.T
+	ctx        context.Context
+	began      time.Time
+	windows    usage.Windows
+	bounds     duty.Bounds
+	log        *fakeLog
+	cloud      *platformtest.Cloud
+	names      []string
 	loseAnswer atomic.Bool
 	// slow is how long a call to the platform takes in addition.
 	slow   atomic.Int64
@@ -48,7 +46,7 @@
 
 	mu       sync.Mutex
 	nodes    map[string]*node
-	sections map[string][]byte
+	sections map[string]map[uint64]json.RawMessage
 	truth    truth
 	// at is the step at which fault is injected into the instance that makes it, once fromWindow
 	// has begun.
@@ -66,7 +64,7 @@
 		s := &sim{
 			t: t, ctx: ctx, began: time.Now(), windows: usage.Windows{Length: 5 * time.Second},
 			bounds: duty.Bounds{Lease: 3 * time.Second, Window: 5 * time.Second, Late: 10 * time.Second, CallsPerSecond: 4},
-			log:    &fakeLog{era: 1}, nodes: make(map[string]*node), sections: make(map[string][]byte), witnesses: true, truth: make(truth), logger: zap.NewNop(),
+			log:    &fakeLog{era: 1}, nodes: make(map[string]*node), sections: make(map[string]map[uint64]json.RawMessage), truth: make(truth), logger: zap.NewNop(),
 		}
 		s.cloud = platformtest.NewCloud(platformtest.CloudOptions{Lease: s.bounds.Lease, Thaw: 300 * time.Millisecond, CallsPerSecond: 4})
 		for i := range instances {
@@ -96,16 +94,25 @@
 	return s.nodes[name]
 }
 
-func (s *sim) section(name string) []byte {
+func (s *sim) setSection(n *node, section []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.sections[name]
+	if s.sections[n.name] == nil {
+		s.sections[n.name] = make(map[uint64]json.RawMessage)
+	}
+	s.sections[n.name][n.start] = section
 }
 
-func (s *sim) setSection(name string, section []byte) {
+func (s *sim) sectionsOf(names []string) map[string][]json.RawMessage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sections[name] = section
+	out := make(map[string][]json.RawMessage)
+	for _, name := range names {
+		for _, section := range s.sections[name] {
+			out[name] = append(out[name], section)
+		}
+	}
+	return out
 }
 
 func (s *sim) ran(team string) {
--- a/internal/usage/answer.go
+++ b/internal/usage/answer.go
@@ -24,9 +24,8 @@
 	Start uint64 `json:"start"`
 	// Own are the counts of this run.
 	Own Counts `json:"own,omitempty"`
-	// Earlier are those of earlier runs. They are complete if EarlierKnown is set.
-	Earlier      Counts `json:"earlier,omitempty"`
-	EarlierKnown bool   `json:"earlier_known,omitempty"`
+	// Complete tells that no earlier run may have counted anything in the window.
+	Complete bool `json:"complete,omitempty"`
 	// ClockUS is the instance's clock, in microseconds after the start of 1970, and CorrectionMS
 	// what it adds to its machine's clock.
 	ClockUS      int64 `json:"clock_us"`
--- a/internal/usage/collector.go
+++ b/internal/usage/collector.go
@@ -195,7 +195,7 @@
 	}
 	var incomplete []string
 	for _, name := range names {
-		if a, ok := answers[name]; !ok || !a.EarlierKnown {
+		if a, ok := answers[name]; !ok || !a.Complete {
 			incomplete = append(incomplete, name)
 		}
 	}
@@ -209,7 +209,7 @@
 	return r
 }
 
-func (c *Collector) sections(ctx context.Context, names []string) map[string]Section {
+func (c *Collector) sections(ctx context.Context, names []string) map[string][]Section {
 	if c.Witnesses == nil || len(names) == 0 {
 		return nil
 	}
@@ -219,14 +219,16 @@
 	if err != nil {
 		c.Logger.Warn("cannot read the usage that witnesses have", telemetry.Err(err))
 	}
-	out := make(map[string]Section, len(raw))
-	for name, data := range raw {
-		var s Section
-		if err := json.Unmarshal(data, &s); err != nil {
-			c.Logger.Warn("cannot decode the usage that witnesses have", zap.String("instance", name), telemetry.Err(err))
-			continue
+	out := make(map[string][]Section, len(raw))
+	for name, runs := range raw {
+		for _, data := range runs {
+			var s Section
+			if err := json.Unmarshal(data, &s); err != nil {
+				c.Logger.Warn("cannot decode the usage that witnesses have", zap.String("instance", name), telemetry.Err(err))
+				continue
+			}
+			out[name] = append(out[name], s)
 		}
-		out[name] = s
 	}
 	return out
 }
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -24,20 +24,20 @@
 
 	mu sync.Mutex
 	// first is the window in which this run of the process began.
-	first        int64
-	newest       int64
-	own, earlier byWindow
-	earlierKnown bool
+	first      int64
+	newest     int64
+	own        byWindow
+	firstStart bool
 	// changes counts the changes of the counts.
 	changes uint64
 }
 
 // NewCounter returns a counter for the run of the process that the random number start identifies.
-// earlierKnown tells that there was no earlier run.
-func NewCounter(start uint64, clock *Clock, windows Windows, earlierKnown bool) *Counter {
+// firstStart tells that there was no earlier run.
+func NewCounter(start uint64, clock *Clock, windows Windows, firstStart bool) *Counter {
 	return &Counter{
 		start: start, clock: clock, windows: windows, first: windows.At(clock.Now()),
-		own: make(byWindow), earlier: make(byWindow), earlierKnown: earlierKnown,
+		own: make(byWindow), firstStart: firstStart,
 	}
 }
 
@@ -53,7 +53,6 @@
 	if window > c.newest {
 		c.newest = window
 		c.own.forgetBefore(window - keptWindows)
-		c.earlier.forgetBefore(window - keptWindows)
 	}
 	c.own.addRuns(window, team, 1)
 	c.changes++
@@ -65,10 +64,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a := Answer{Start: c.start, ClockUS: now.UnixMicro(), CorrectionMS: correction.Milliseconds()}
-	a.EarlierKnown = c.earlierKnown || window > c.first
-	a.Own, a.Earlier = make(Counts), make(Counts)
+	a.Complete = c.firstStart || window > c.first
+	a.Own = make(Counts)
 	a.Own.add(c.own[window])
-	a.Earlier.add(c.earlier[window])
 	return a
 }
 
@@ -84,27 +82,6 @@
 	first := c.windows.At(c.clock.Now()) - sectionWindows
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	data, err := json.Marshal(Section{Start: c.start, Own: c.own.since(first), Earlier: c.earlier.since(first)})
+	data, err := json.Marshal(Section{Start: c.start, Own: c.own.since(first)})
 	return data, errors.Wrap(err, "encode usage counts")
 }
-
-// RestoreEarlier takes over the counts of the earlier run from its section; an empty section means
-// that the earlier run counted nothing. Calls after the first have no effect.
-func (c *Counter) RestoreEarlier(data json.RawMessage) error {
-	var s Section
-	if len(data) > 0 {
-		if err := json.Unmarshal(data, &s); err != nil {
-			return errors.Wrap(err, "decode usage counts of the earlier start")
-		}
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.earlierKnown || s.Start == c.start {
-		return nil
-	}
-	c.earlierKnown = true
-	c.earlier.merge(s.Own)
-	c.earlier.merge(s.Earlier)
-	c.changes++
-	return nil
-}
--- a/internal/usage/counts.go
+++ b/internal/usage/counts.go
@@ -25,15 +25,6 @@
 	counts[team] += n
 }
 
-// merge adds the counts of other.
-func (b byWindow) merge(other byWindow) {
-	for window, counts := range other {
-		for team, n := range counts {
-			b.addRuns(window, team, n)
-		}
-	}
-}
-
 // since returns a copy of the counts of windows from first on.
 func (b byWindow) since(first int64) byWindow {
 	out := make(byWindow)
--- a/internal/usage/peers.go
+++ b/internal/usage/peers.go
@@ -15,6 +15,7 @@
 
 // Witnesses keep the counts of instances elsewhere, so that they survive the instance.
 type Witnesses interface {
-	// Sections returns the newest sections of some instances, without those that no witness has.
-	Sections(ctx context.Context, names []string) (map[string]json.RawMessage, error)
+	// Sections returns the newest section of each known run of some instances, without the instances
+	// that no witness knows.
+	Sections(ctx context.Context, names []string) (map[string][]json.RawMessage, error)
 }
