Read the usage of instances that do not answer from their witnesses

Cause: what a killed or cut off instance had counted was missing from reports. Change: counts go into the witness records, and the holder reads those of instances that do not answer and of earlier runs.

--- a/internal/duty/fake_log_test.go
+++ b/internal/duty/fake_log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"sync"
 	"time"
@@ -19,6 +20,9 @@
 	down  bool
 	// calls counts the calls, appends and reads.
 	calls int
+	// claims has when other instances than the one before claimed, by token.
+	claims map[int64]time.Time
+	last   string
 	// next is what happens to the next append: nothing, "lost" (the answer) or "late" (the append).
 	next string
 }
@@ -52,6 +56,10 @@
 		return topicwatch.Position{}, topicwatch.ErrEndMoved
 	}
 	l.items = append(l.items, topicwatch.Item{Key: key, Value: value, Offset: at})
+	var claim struct{ Holder string }
+	if _ = json.Unmarshal(value, &claim); key == "usage" && claim.Holder != l.last {
+		l.last, l.claims[fence(topicwatch.Position{Era: l.era, Offset: at})] = claim.Holder, time.Now()
+	}
 	if fault == "lost" {
 		return topicwatch.Position{}, errFault
 	}
--- a/internal/duty/fake_node_test.go
+++ b/internal/duty/fake_node_test.go
@@ -30,6 +30,8 @@
 	cutLog, cutCloud, cutPeers atomic.Bool
 }
 
+func fence(p topicwatch.Position) int64 { return p.Era<<40 + p.Offset + 1 }
+
 // startNode starts an instance whose clock is wrong by clockError.
 func (s *sim) startNode(name string, first bool, clockError time.Duration) *node {
 	n := &node{sim: s, name: name, start: rand.Uint64()}
@@ -39,7 +41,7 @@
 	n.Reporter = duty.NewReporter(duty.Options{
 		Self: name, Start: n.start, FirstStart: first, Usage: true, Bounds: s.bounds, Clock: n.clock, Windows: s.windows,
 		Log: n, Platform: n, Collector: collector, Notifier: n, Stats: duty.NewStats(metrics.NewSet()), Logger: s.logger.With(zap.String("instance", name)),
-		Fence: func(p topicwatch.Position) int64 { return p.Era<<40 + p.Offset + 1 },
+		Fence: fence,
 	})
 	n.SetMembers(s.names)
 	n.SetEra(s.log.currentEra())
--- a/internal/duty/sim_test.go
+++ b/internal/duty/sim_test.go
@@ -64,7 +64,7 @@
 		s := &sim{
 			t: t, ctx: ctx, began: time.Now(), windows: usage.Windows{Length: 5 * time.Second},
 			bounds: duty.Bounds{Lease: 3 * time.Second, Window: 5 * time.Second, Late: 10 * time.Second, CallsPerSecond: 4},
-			log:    &fakeLog{era: 1}, nodes: make(map[string]*node), sections: make(map[string]map[uint64]json.RawMessage), truth: make(truth), logger: zap.NewNop(),
+			log:    &fakeLog{era: 1, claims: make(map[int64]time.Time)}, nodes: make(map[string]*node), sections: make(map[string]map[uint64]json.RawMessage), truth: make(truth), logger: zap.NewNop(),
 		}
 		s.cloud = platformtest.NewCloud(platformtest.CloudOptions{Lease: s.bounds.Lease, Thaw: 300 * time.Millisecond, CallsPerSecond: 4})
 		for i := range instances {
@@ -181,6 +181,7 @@
 func (s *sim) check() (missed, late, wrong []int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.checkLease()
 	for w := s.windows.At(s.began); time.Since(s.windows.End(w)) > s.bounds.Late; w++ {
 		report, ok := s.cloud.Report(w)
 		switch {
@@ -200,6 +201,17 @@
 	return missed, late, wrong
 }
 
+// checkLease checks that no token was used within the lease after its claim, unless the claim before was
+// of the same instance.
+func (s *sim) checkLease() {
+	for w := s.windows.At(s.began); time.Since(s.windows.Start(w)) > 0; w++ {
+		report, ok := s.cloud.Report(w)
+		if claimed := s.log.claims[report.Token]; ok && report.At.Before(claimed.Add(s.bounds.Lease)) {
+			s.t.Errorf("window %d: %s acts %s after its claim", w, report.Holder, report.At.Sub(claimed))
+		}
+	}
+}
+
 // restore brings the log back from a copy, which all instances notice by and by from their other
 // calls.
 func (s *sim) restore(lost int) {
--- a/internal/managed/duties.go
+++ b/internal/managed/duties.go
@@ -1,19 +1,17 @@
 package managed
 
 import (
-	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
-	"github.com/jacinthbend/jacinthbend/internal/boottime"
 	"github.com/jacinthbend/jacinthbend/internal/duty"
 	"github.com/jacinthbend/jacinthbend/internal/entryrpc"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 	"github.com/jacinthbend/jacinthbend/internal/settings"
 	"github.com/jacinthbend/jacinthbend/internal/usage"
+	"github.com/jacinthbend/jacinthbend/internal/witness"
 	"github.com/jacinthbend/jacinthbend/platform"
 )
 
@@ -24,14 +22,14 @@
 	reporter *duty.Reporter
 }
 
-// newDuties returns the components, or nil if the settings name no duty.
-func newDuties(s settings.Managed, store *platform.Store, client *entryrpc.Client, set *metrics.Set, logger *zap.Logger) *duties {
+// newDuties returns the components of the run that the random number start identifies, or nil if the
+// settings name no duty.
+func newDuties(s settings.Managed, start uint64, store *platform.Store, client *entryrpc.Client, witnesses usage.Witnesses, set *metrics.Set, logger *zap.Logger) *duties {
 	if !s.Duties.Has(settings.DutyUsage) && !s.Duties.Has(settings.DutyAutoscale) {
 		return nil
 	}
-	start := rand.Uint64()
 	windows := usage.Windows{Length: s.UsageWindow()}
-	d := &duties{clock: usage.NewClock(time.Now(), boottime.Now)}
+	d := &duties{clock: usage.NewClock(time.Now(), witness.BootTime)}
 	d.counter = usage.NewCounter(start, d.clock, windows, s.FirstStart)
 	peers := entryrpc.NewUsageClient(client)
 	d.reporter = duty.NewReporter(duty.Options{
@@ -39,7 +37,7 @@
 		Bounds: duty.Bounds{Lease: s.DutyLease(), Window: s.UsageWindow(), Late: s.UsageLate(), CallsPerSecond: s.Duties.CallsPerS},
 		Clock:  d.clock, Windows: windows, Log: dutyLog{store: store}, Platform: platform.NewCloud(s.Duties.Addr),
 		Collector: usage.NewCollector(usage.CollectorOptions{
-			Self: s.Instance, Counter: d.counter, Clock: d.clock, Windows: windows, Peers: peers, Logger: logger,
+			Self: s.Instance, Counter: d.counter, Clock: d.clock, Windows: windows, Peers: peers, Witnesses: witnesses, Logger: logger,
 		}),
 		Notifier: peers, Fence: fence, Stats: duty.NewStats(set), Logger: logger,
 	})
@@ -59,6 +57,3 @@
 
 // setView applies a new view of the fleet.
 func (d *duties) setView(v *fleet.View) { d.reporter.SetMembers(v.EntryNames()) }
-
-// run takes part in the duties until ctx ends.
-func (d *duties) run(ctx context.Context) { d.reporter.Run(ctx) }
--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -95,7 +95,8 @@
 	dutyJobs, stopDuties := context.WithCancel(jobs)
 	defer stopDuties()
 	if e.duties != nil {
-		p.run(dutyJobs, "duties", e.duties.run)
+		p.run(dutyJobs, "duties", e.duties.reporter.Run)
+		p.run(jobs, "give usage counts to witnesses", func(ctx context.Context) { e.duties.sendSections(ctx, e.reporter, logger) })
 	}
 	p.run(jobs, "announce", func(ctx context.Context) {
 		// The member record of an earlier start tells that there was one.
@@ -152,7 +153,7 @@
 	crashes := quarantine.NewTable()
 	e.crashReports = newCrashReports(s.Instance, crashes, e.store, entryrpc.NewCrashSender(e.entryClient), e.entryCount, e.logger)
 	e.origins = streamorigin.New(streamorigin.Options{Log: streamLog{instance: s.Instance, store: e.store}, Peers: e.entryClient, Entries: e.entryCount, Logger: e.logger, RefreshList: e.refreshUpstreams})
-	e.duties = newDuties(s, e.store, e.entryClient, e.metrics, e.logger)
+	e.duties = newDuties(s, e.reporter.Start(), e.store, e.entryClient, usageWitnesses{transport: e.witnessClient, members: e.members}, e.metrics, e.logger)
 	e.gateway = gateway.New(gateway.Options{
 		Runs:       e.runCounter(),
 		Origins:    e.origins,
