Order servers as a duty of the same holder

Cause: the decision on orders of servers had no sender. Change: the holder of the usage duty also orders servers, recorded in the log before they are sent. Result: the tests of duties pass.

--- a/internal/autoscale/decide.go
+++ b/internal/autoscale/decide.go
@@ -30,13 +30,17 @@
 	needs := make(map[string]float64)
 	for name, dc := range in.DataCentres {
 		m := before.dataCentres[name]
-		if m.desired == 0 {
+		m.samples = recent(slices.Clone(m.samples), in.Now)
+		if len(m.samples) == 0 {
+			m = memory{} // another instance has decided meanwhile
+		}
+		if dc.Ordered > 0 {
 			m.desired = dc.Ordered
 		}
 		if m.desired == 0 {
 			m.desired = max(dc.Running, in.Limits.Min)
 		}
-		m.samples = recent(append(slices.Clone(m.samples), sample{in.Now, dc.Busy}), in.Now)
+		m.samples = append(m.samples, sample{in.Now, dc.Busy})
 		needs[name] = dc.need(forecast(m.samples, in.Limits.Boot))
 		after.dataCentres[name] = m
 	}
--- a/internal/duty/decide.go
+++ b/internal/duty/decide.go
@@ -43,14 +43,20 @@
 	if s.Collected == next && logFree {
 		return Step{Record, next}
 	}
-	if len(s.Outbox) > 0 && s.Boot >= s.ActFrom && s.Boot >= s.CallFrom {
-		if s.Boot-s.VerifiedAt < s.Bounds.maxVerifiedAge() {
+	if len(s.Outbox)+s.UnsentOrders > 0 && s.Boot >= s.ActFrom && s.Boot >= s.CallFrom {
+		fresh := s.Boot-s.VerifiedAt < s.Bounds.maxVerifiedAge()
+		switch {
+		case fresh && len(s.Outbox) > 0:
 			return Step{Send, s.mostUrgent()}
-		}
-		if logFree {
+		case fresh:
+			return Step{Kind: SendOrder}
+		case logFree:
 			return Step{Kind: ReadLog}
 		}
 	}
+	if s.NewOrders > 0 && logFree {
+		return Step{Kind: RecordOrder}
+	}
 	if s.Collecting == 0 && s.Collected != next && !s.Now.Before(s.Windows.End(next).Add(usage.CollectAfter)) {
 		return Step{Collect, next}
 	}
--- a/internal/duty/fake_node_test.go
+++ b/internal/duty/fake_node_test.go
@@ -44,6 +44,9 @@
 		Log: n, Platform: n, Collector: n.collector, Notifier: n, Stats: duty.NewStats(metrics.NewSet()), Logger: s.logger.With(zap.String("instance", name)),
 		Fence: fence,
 	})
+	if s.scale {
+		n.Orders = n.orders
+	}
 	n.SetMembers(s.names)
 	n.SetEra(s.log.currentEra())
 	s.mu.Lock()
@@ -142,7 +145,24 @@
 	return nil
 }
 
-func (n *node) Scale(context.Context, string, int64, duty.Order) error { return errFault }
+func (n *node) Scale(ctx context.Context, holder string, token int64, o duty.Order) error {
+	if err := n.reach(ctx, &n.cutCloud); err != nil {
+		return err
+	}
+	time.Sleep(callLatency)
+	if n.sim.cloud.Scale(holder, token, o.Service, o.DataCentre) != http.StatusOK {
+		return errFault
+	}
+	n.sim.ordered.Store(int64(o.Desired))
+	return nil
+}
+
+// orders wants a number of servers that changes with each window.
+func (n *node) orders(now time.Time, _ map[string]map[string]float64, _ func(string, string) int) []duty.Order {
+	return []duty.Order{{Service: "s", DataCentre: "a", Desired: wantedAt(n.sim.windows.At(now))}}
+}
+
+func wantedAt(window int64) int { return 2 + int(window%3) }
 
 func (n *node) Names() []string { return n.sim.names }
 
--- a/internal/duty/faults_test.go
+++ b/internal/duty/faults_test.go
@@ -69,12 +69,14 @@
 			t.Run(f.name+" "+step, func(t *testing.T) {
 				t.Parallel()
 				run(t, 6, 85*time.Second, func(s *sim) {
+					s.scale = true
 					s.at, s.fault, s.fromWindow = step, func(n *node) { f.make(s, n) }, s.windows.At(s.began)+4
 				}, func(s *sim, check *is.I) {
 					check.True(s.fault == nil) // the step was made
 					missed, late, wrong := s.check()
 					t.Log("missed", missed, "late", late, "wrong", wrong, "first", s.windows.At(s.began), "calls to the log", s.log.calls)
 					check.Equal(s.cloud.Violations(), nil)
+					check.Equal(int(s.ordered.Load()), wantedAt(s.windows.At(time.Now())-1)) // orders go on
 					check.True(len(missed) <= f.missed)
 					check.True(len(late) <= f.late)
 					check.True(len(wrong) <= f.wrong)
--- a/internal/duty/options.go
+++ b/internal/duty/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -38,6 +39,10 @@
 	Platform  Platform
 	Collector Collector
 	Notifier  Notifier
+	// Orders returns the orders of servers that are wanted, from the requests that run by service and
+	// data centre. last returns the number ordered last, 0 if there is none. It is nil if these orders
+	// are no duty.
+	Orders func(now time.Time, busy map[string]map[string]float64, last func(service, dataCentre string) int) []Order
 	// Fence returns the fencing token of a claim at a position of the log.
 	Fence  func(topicwatch.Position) int64
 	Stats  *Stats
--- a/internal/duty/reporter.go
+++ b/internal/duty/reporter.go
@@ -33,13 +33,16 @@
 	logFrom    time.Duration
 	logPause   time.Duration
 	callFrom   time.Duration
-	callPause  time.Duration
+	callFailed bool
 	// seen are the newest reports in the log, also those that a copy of it no longer has, and
 	// delivered those that the platform has taken.
 	seen      map[int64]Report
 	delivered map[int64]bool
 	// notified is the window of which candidates have been told last.
 	notified int64
+	// newOrders have to be recorded, and unsentOrders, by their keys, to be sent.
+	newOrders    []Order
+	unsentOrders map[string]Order
 
 	firstWindow int64
 
@@ -57,7 +60,7 @@
 // NewReporter returns a reporter; Run makes it work.
 func NewReporter(o Options) *Reporter {
 	return &Reporter{
-		Options: o, ledger: newLedger(o.Fence), seen: make(map[int64]Report), delivered: make(map[int64]bool),
+		Options: o, ledger: newLedger(o.Fence), seen: make(map[int64]Report), delivered: make(map[int64]bool), unsentOrders: make(map[string]Order),
 		firstWindow: o.Windows.At(o.Clock.Now()), storeEra: -1,
 	}
 }
@@ -128,7 +131,7 @@
 		Self: r.Self, Start: r.Start, FirstStart: r.FirstStart, Ranked: r.ranked,
 		Ledger: r.ledger, ReadAt: r.readAt, StoreEra: r.storeEra, EraWindow: r.eraWindow, FirstWindow: r.firstWindow,
 		Hint: r.hint, Silent: r.silent, WasHolder: r.wasHolder, ActFrom: r.actFrom, VerifiedAt: r.verifiedAt, LogFrom: r.logFrom, CallFrom: r.callFrom,
-		Collecting: r.collecting,
+		Collecting: r.collecting, NewOrders: len(r.newOrders), UnsentOrders: len(r.unsentOrders),
 	}
 	if r.collected != nil {
 		s.Collected = r.collected.Window
@@ -145,7 +148,7 @@
 
 // do makes a step.
 func (r *Reporter) do(ctx context.Context, step Step) {
-	if r.uncertain && (step.Kind == ClaimDuty || step.Kind == Record) {
+	if r.uncertain && (step.Kind == ClaimDuty || step.Kind == Record || step.Kind == RecordOrder) {
 		step = Step{Kind: ReadLog}
 	}
 	switch step.Kind {
@@ -161,6 +164,10 @@
 		r.record(ctx, step.Window)
 	case Send:
 		r.send(ctx, step.Window)
+	case RecordOrder:
+		r.recordOrder(ctx)
+	case SendOrder:
+		r.sendOrder(ctx)
 	case Wait:
 	}
 }
--- a/internal/duty/reporter_log.go
+++ b/internal/duty/reporter_log.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -74,6 +75,8 @@
 	if r.wasHolder && r.ledger.claimed() {
 		r.Logger.Warn("lost the duty", zap.String("holder", r.ledger.Claim.Holder), zap.Int64("token", r.ledger.Claim.Token))
 		r.wasHolder = false
+		r.newOrders = nil
+		clear(r.unsentOrders)
 		r.Stats.token.Store(0)
 		r.stopCollecting()
 	}
@@ -148,6 +151,8 @@
 		r.actFrom = boot
 	}
 	r.wasHolder = true
+	// The holder before may not have sent the last orders.
+	maps.Copy(r.unsentOrders, r.ledger.Orders)
 	r.Stats.claims.Inc()
 	r.Stats.token.Store(r.ledger.Claim.Token)
 	r.Logger.Info("claimed the duty", zap.Int64("token", r.ledger.Claim.Token), zap.String("before", before.Holder), zap.Int64("last_window", r.ledger.Last), zap.Int64("from", from), zap.Duration("acts_after", r.actFrom-boot))
--- a/internal/duty/reporter_usage.go
+++ b/internal/duty/reporter_usage.go
@@ -32,12 +32,6 @@
 
 // collect begins to collect the counts of a window.
 func (r *Reporter) collect(ctx context.Context, window int64) {
-	if !r.Usage {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.collected = &usage.Result{Window: window}
-		return
-	}
 	req := r.request()
 	req.Window = window
 	collectCtx, cancel := context.WithCancel(ctx)
@@ -78,8 +72,8 @@
 	result := *r.collected
 	r.mu.Unlock()
 	counts := result.Counts
-	if counts == nil {
-		counts = usage.Counts{}
+	if !r.Usage {
+		counts = nil
 	}
 	_, ok := r.append(ctx, "report", reportKey(window), record{Token: r.ledger.Claim.Token, Window: window, Counts: counts})
 	if !ok {
@@ -101,6 +95,7 @@
 	if !r.Usage {
 		r.notify(ctx)
 	}
+	r.decideOrders(result)
 }
 
 // ping asks the holder whether it is alive.
@@ -146,44 +141,29 @@
 
 // send sends the report of a window as it is in the log.
 func (r *Reporter) send(ctx context.Context, window int64) {
-	report, token := r.seen[window], r.ledger.Claim.Token
-	began := r.Clock.Boot()
-	callCtx, cancel := context.WithTimeout(ctx, r.Bounds.CallTimeout())
-	defer cancel()
-	if began-r.verifiedAt >= r.Bounds.maxVerifiedAge() {
-		return // this process has been frozen since the step was decided
+	report := r.seen[window]
+	err := r.call(ctx, "usage", func(ctx context.Context, token int64) error {
+		return r.Platform.ReportUsage(ctx, r.Self, token, window, report.Counts)
+	})
+	if errors.Is(err, errStale) {
+		return
 	}
-	err := r.Platform.ReportUsage(callCtx, r.Self, token, window, report.Counts)
 	if window == r.ledger.Last && r.notified != window {
 		r.notified = window
 		r.notify(ctx)
 	}
 	delay := r.Clock.Now().Sub(r.Windows.End(window))
-	r.callFrom = began + r.Bounds.callInterval()
-	switch {
-	case err == nil:
-		r.Stats.countCall("usage", resultOK)
-		r.Stats.lateness.Update(delay.Seconds())
-		r.callPause = 0
-		r.delivered[window] = true
-		if delay > r.Bounds.Late {
-			r.Stats.late.Inc()
-		}
-		r.Logger.Info("usage reported", zap.Int64("window", window), zap.Int64("token", token), zap.Duration("after", delay), zap.Bool("late", delay > r.Bounds.Late))
-	case errors.Is(err, ErrCallLimit):
-		r.Stats.countCall("usage", resultLimited)
-		r.callFrom = r.Clock.Boot() + max(r.Bounds.callInterval(), tickInterval)
-		r.Logger.Info("platform limits calls, sending the usage report again later", zap.Int64("window", window))
-	default:
-		r.Stats.countCall("usage", resultFailed)
-		pause := callPause
-		if r.callPause == 0 {
-			pause = firstCallPause
-		}
-		r.callPause = pause
-		r.callFrom = r.Clock.Boot() + max(pause, r.Bounds.callInterval())
-		r.Logger.Warn("usage report failed", zap.Int64("window", window), zap.Int64("token", token), zap.Duration("after", delay), zap.Duration("retry_after", pause), telemetry.Err(err))
+	if err != nil {
+		r.Logger.Warn("usage report failed", zap.Int64("window", window), zap.Int64("token", r.ledger.Claim.Token), zap.Duration("after", delay), telemetry.Err(err))
+		return
+	}
+	late := delay > r.Bounds.Late
+	r.delivered[window] = true
+	r.Stats.lateness.Update(delay.Seconds())
+	if late {
+		r.Stats.late.Inc()
 	}
+	r.Logger.Info("usage reported", zap.Int64("window", window), zap.Int64("token", r.ledger.Claim.Token), zap.Duration("after", delay), zap.Bool("late", late))
 }
 
 // expire forgets reports that are too old to be sent.
--- a/internal/duty/sim_test.go
+++ b/internal/duty/sim_test.go
@@ -40,6 +40,9 @@
 	cloud      *platformtest.Cloud
 	names      []string
 	loseAnswer atomic.Bool
+	// scale tells that orders of servers are a duty, too, and ordered is the last one taken.
+	scale   bool
+	ordered atomic.Int64
 	// slow is how long a call to the platform takes in addition.
 	slow   atomic.Int64
 	logger *zap.Logger
--- a/internal/duty/situation.go
+++ b/internal/duty/situation.go
@@ -47,4 +47,6 @@
 	Collecting, Collected int64
 	// Outbox are the windows that are in the log and have not been taken by the platform yet.
 	Outbox []int64
+	// NewOrders and UnsentOrders are how many orders of servers have to be recorded and to be sent.
+	NewOrders, UnsentOrders int
 }
--- a/internal/duty/step.go
+++ b/internal/duty/step.go
@@ -19,6 +19,9 @@
 	Record
 	// Send sends the report of a window that is in the log.
 	Send
+	// RecordOrder appends the next new order of servers, and SendOrder sends one that is in the log.
+	RecordOrder
+	SendOrder
 )
 
 // Step is what an instance does next, and the window or the first window that it concerns.
--- a/internal/entryrpc/client.go
+++ b/internal/entryrpc/client.go
@@ -57,6 +57,9 @@
 // Peers returns the client of the connections to other instances.
 func (c *Client) Peers() *peer.Client { return c.peers }
 
+// View returns the current view, nil if there is none yet.
+func (c *Client) View() *fleet.View { return c.view() }
+
 // otherEntries returns the other entry instances that are not in backoff, in random
 // order.
 func (c *Client) otherEntries() []fleet.Member {
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -12,4 +12,6 @@
 	MaxColdRate float64
 	// Engine is nil for services without models.
 	Engine *Engine
+	// Autoscale is nil for services whose number of servers is not decided here.
+	Autoscale *Autoscale
 }
--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -153,7 +153,7 @@
 	crashes := quarantine.NewTable()
 	e.crashReports = newCrashReports(s.Instance, crashes, e.store, entryrpc.NewCrashSender(e.entryClient), e.entryCount, e.logger)
 	e.origins = streamorigin.New(streamorigin.Options{Log: streamLog{instance: s.Instance, store: e.store}, Peers: e.entryClient, Entries: e.entryCount, Logger: e.logger, RefreshList: e.refreshUpstreams})
-	e.duties = newDuties(s, e.reporter.Start(), e.store, e.entryClient, usageWitnesses{transport: e.witnessClient, members: e.members}, e.metrics, e.logger)
+	e.duties = newDuties(s, e.reporter.Start(), e.store, e.entryClient, usageWitnesses{transport: e.witnessClient, members: e.members}, e.pool, e.metrics, e.logger)
 	e.gateway = gateway.New(gateway.Options{
 		Runs:       e.runCounter(),
 		Origins:    e.origins,
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -65,12 +65,14 @@
 	loadProgress map[copyKey]chan struct{}
 	// fleetDemand, if set, is the demand of several instances.
 	fleetDemand FleetDemand
+	// busy has the running requests of the services whose number of servers is decided here.
+	busy map[busyKey]*busyMean
 }
 
 // NewPool returns the pool of the entry instance called self, without
 // upstreams.
 func NewPool(self, dataCentre string, b Bounds) *Pool {
-	return &Pool{index: newModelIndex(), self: self, bounds: b, dataCentre: dataCentre, states: make(map[string]*state), answers: make(map[string]answer), demands: make(map[string]*modelDemand), speeds: make(map[string]*speed.Group), storeLimits: make(map[string]*storeLimit), lastAvailable: make(map[string]time.Time), loadProgress: make(map[copyKey]chan struct{})}
+	return &Pool{index: newModelIndex(), self: self, bounds: b, dataCentre: dataCentre, states: make(map[string]*state), answers: make(map[string]answer), demands: make(map[string]*modelDemand), speeds: make(map[string]*speed.Group), storeLimits: make(map[string]*storeLimit), lastAvailable: make(map[string]time.Time), loadProgress: make(map[copyKey]chan struct{}), busy: make(map[busyKey]*busyMean)}
 }
 
 // Update applies a new view.
--- a/internal/upstream/ticket.go
+++ b/internal/upstream/ticket.go
@@ -27,6 +27,8 @@
 	// learns tells that the time to the header says something of the upstream's speed.
 	learns bool
 	events eventTimes
+	// busy is nil unless the number of the service's servers is decided here.
+	busy *busyMean
 }
 
 // Begin starts an attempt; the caller must call End on the ticket. It returns
@@ -54,6 +56,9 @@
 	s.lastSent = now
 	s.inFlight++
 	s.pendingTokens += t.pendingTokens
+	if t.busy = p.busyOf(s, now); t.busy != nil {
+		t.busy.add(1, now)
+	}
 	if q.Model != "" {
 		u := s.usage(t.name)
 		u.inFlight++
@@ -106,6 +111,9 @@
 	t.learnEvents(time.Now())
 	t.learnUnanswered(o, time.Now())
 	t.state.inFlight--
+	if t.busy != nil {
+		t.busy.add(-1, time.Now())
+	}
 	if u, ok := t.state.usageByName[t.name]; ok {
 		u.inFlight--
 	}
--- a/internal/usage/answer.go
+++ b/internal/usage/answer.go
@@ -34,6 +34,9 @@
 	// what it adds to its machine's clock.
 	ClockUS      int64 `json:"clock_us"`
 	CorrectionMS int64 `json:"correction_ms,omitempty"`
+	// Busy is how many requests of the instance run on average, by service and data centre, for the
+	// services whose number of servers is decided here.
+	Busy map[string]map[string]float64 `json:"busy,omitempty"`
 	// Others are the answers of the instances that the called one was to ask.
 	Others map[string]Answer `json:"others,omitempty"`
 }
--- a/internal/usage/collector.go
+++ b/internal/usage/collector.go
@@ -56,6 +56,8 @@
 	Clock   *Clock
 	Windows Windows
 	Peers   Peers
+	// Busy returns Answer.Busy of this instance; it may be nil.
+	Busy func() map[string]map[string]float64
 	// Witnesses may be nil.
 	Witnesses Witnesses
 	Logger    *zap.Logger
@@ -86,7 +88,7 @@
 	if late := c.Clock.Now().Add(lateCollectTime); late.After(until) {
 		until = late
 	}
-	answers := map[string]Answer{c.Self: c.Counter.Answer(window)}
+	answers := map[string]Answer{c.Self: c.OwnAnswer(window)}
 	offsets := map[string]time.Duration{c.Self: 0}
 	applied := map[string]time.Duration{c.Self: c.Clock.Correction()}
 	isPending := false
@@ -112,6 +114,15 @@
 	return c.complete(ctx, window, answers)
 }
 
+// OwnAnswer returns the answer of this instance.
+func (c *Collector) OwnAnswer(window int64) Answer {
+	a := c.Counter.Answer(window)
+	if c.Busy != nil {
+		a.Busy = c.Busy()
+	}
+	return a
+}
+
 func (c *Collector) missing(answers map[string]Answer) []string {
 	var out []string
 	for _, name := range c.Peers.Names() {
@@ -284,6 +295,7 @@
 	sections := c.sections(ctx, incomplete)
 	r := Result{Window: window}
 	r.Counts, r.Unknown = merge(window, names, answers, sections)
+	r.Busy = sumBusy(answers)
 	for name := range sections {
 		r.Witnessed = append(r.Witnessed, name)
 	}
--- a/internal/usage/merge.go
+++ b/internal/usage/merge.go
@@ -31,3 +31,19 @@
 	slices.Sort(unknown)
 	return total, unknown
 }
+
+// sumBusy adds up the running requests of all answers.
+func sumBusy(answers map[string]Answer) map[string]map[string]float64 {
+	out := make(map[string]map[string]float64)
+	for _, a := range answers {
+		for service, dataCentres := range a.Busy {
+			if out[service] == nil {
+				out[service] = make(map[string]float64)
+			}
+			for name, busy := range dataCentres {
+				out[service][name] += busy
+			}
+		}
+	}
+	return out
+}
