--- a/internal/settings/managed.go
+++ b/internal/settings/managed.go
@@ -40,6 +40,8 @@
 	Bounds   ManagedBounds `json:"bounds"`
 	// Duties are the calls to the platform that are the duty of one entry instance at a time.
 	Duties Duties `json:"duties,omitzero"`
+	// DutiesTemplate has what a template of the platform gives of them; it takes precedence.
+	DutiesTemplate DutiesTemplate `json:"duties_template,omitzero"`
 }
 
 // LoadManaged reads the file at path, applies override and validates the result.
@@ -89,6 +91,7 @@
 	if s.LogLevel == "" {
 		s.LogLevel = defaultLogLevel
 	}
+	s.DutiesTemplate.apply(&s.Duties, &s.Bounds)
 	s.Bounds.setDutyDefaults()
 }
 
--- a/review/harness/bed.go
+++ b/review/harness/bed.go
@@ -255,23 +255,13 @@
 	b.procs = append(b.procs, p)
 }
 
-// section matches a part of a template that the platform leaves out if it has no value of that name.
-var section = regexp.MustCompile(`(?s)\{\{#([a-z_]+)\}\}(.*?)\{\{/[a-z_]+\}\}`)
-
 var placeholder = regexp.MustCompile(`\{\{([a-z_.]+)\|json\}\}`)
 
 // writeSettings fills the template of the role in, as the platform does at each start.
 func (p *process) writeSettings() {
 	text, err := os.ReadFile(p.template)
 	check(err)
-	present := section.ReplaceAllStringFunc(string(text), func(s string) string {
-		parts := section.FindStringSubmatch(s)
-		if p.settings[parts[1]] == nil {
-			return ""
-		}
-		return parts[2]
-	})
-	filled := placeholder.ReplaceAllStringFunc(present, func(s string) string {
+	filled := placeholder.ReplaceAllStringFunc(string(text), func(s string) string {
 		var v any = p.settings
 		for _, name := range strings.Split(placeholder.FindStringSubmatch(s)[1], ".") {
 			m, _ := v.(map[string]any)
