Decide which requests leave their data centre

Cause: a constant of 4 ms alone decided whether a request left its data centre. It had no price of bytes, no measure of how full the data centre is and no bound on how much leaves. With three data centres of equal load, more than half of all requests crossed, and all instances sent them to the same upstream until the next report. Change: package internal/spill compares the best upstream of the data centre with the best one elsewhere. Loads, cached prompts and failures count fully, other time only as far as the data centre is pressed; bytes have a price; the share that leaves by choice changes by at most half of the requests a second. Among equal upstreams elsewhere, another one is taken than the requests of that data centre take. Attempts that leave are counted by reason, with their bytes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -144,6 +144,9 @@
 func (r *request) relayBuffered(ctx context.Context, detector *stallDetector, choice *upstream.Choice, ticket *upstream.Ticket, resp *upstreamclient.Response, a fleet.ResponseAttributes) attemptResult {
 	body, err := r.readBody(resp, detector)
 	resp.Close(err == nil)
+	if err == nil {
+		ticket.DataReceived(body.size)
+	}
 	if errors.Is(err, errBuffersFull) {
 		return r.buffersFull(choice, ticket)
 	}
@@ -285,7 +288,7 @@
 		n, readErr := resp.Body.Read(buf)
 		if n > 0 {
 			detector.dataReceived()
-			ticket.DataReceived()
+			ticket.DataReceived(n)
 		}
 		before := r.events.Events
 		events, err := r.events.Add(buf[:n])
--- a/internal/managed/entry.go
+++ b/internal/managed/entry.go
@@ -112,7 +112,8 @@
 		a := dialect.Answer(h)
 		return a.RequestID, a.KeepAlive
 	})
-	e.pool = upstream.NewPool(s.Instance, s.DataCentre, upstream.Bounds{ColdOver: s.Bounds.ColdOver, ColdSlack: s.Bounds.ColdSlack, DrainTime: s.DrainTime()})
+	e.pool = upstream.NewPool(s.Instance, s.DataCentre, upstream.Bounds{ColdOver: s.Bounds.ColdOver, ColdSlack: s.Bounds.ColdSlack, DrainTime: s.DrainTime(), SpillWeight: s.SpillWeight})
+	e.pool.RegisterMetrics(e.metrics)
 	e.exchange.SetIdleLimit(e.pool.IdleLimit)
 	e.quota = tokenquota.NewLimiter(s.Instance, tokenquota.Bounds{Window: s.QuotaWindow(), Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack}, e.entryClient)
 	if !s.FirstStart {
--- a/internal/settings/managed.go
+++ b/internal/settings/managed.go
@@ -35,6 +35,10 @@
 	// CPUShare is the share of a processor core that the process may use, 0 if unknown.
 	// Instances with more of it do more of the work that one does for others.
 	CPUShare float64 `json:"cpu_share,omitempty"`
+	// SpillWeight is the part of the price of bytes between data centres that counts when an
+	// entry instance decides whether a request leaves its data centre. With 0, upstreams of other
+	// data centres are chosen as if they were 4 ms slower.
+	SpillWeight float64 `json:"spill_weight,omitempty"`
 	// LogLevel is debug, info, warn or error. Default info.
 	LogLevel string        `json:"log_level,omitempty"`
 	Bounds   ManagedBounds `json:"bounds"`
@@ -79,6 +83,9 @@
 	if s.CPUShare < 0 {
 		c.add("cpu_share", fmt.Sprint(s.CPUShare), "must not be negative")
 	}
+	if s.SpillWeight < 0 {
+		c.add("spill_weight", fmt.Sprint(s.SpillWeight), "must not be negative")
+	}
 	return c.problems.asError()
 }
 
--- a/internal/settings/managed_test.go
+++ b/internal/settings/managed_test.go
@@ -26,6 +26,7 @@
 		"instance":               func(s *Managed) { s.Instance = "" },
 		"store_addr":             func(s *Managed) { s.StoreAddr = "store" },
 		"log_level":              func(s *Managed) { s.LogLevel = "loud" },
+		"spill_weight":           func(s *Managed) { s.SpillWeight = -1 },
 		"cpu_share":              func(s *Managed) { s.CPUShare = -1 },
 		"bounds.quota_window_s":  func(s *Managed) { s.Bounds.QuotaWindowS = 0 },
 		"bounds.config_apply_ms": func(s *Managed) { s.Bounds.ConfigApplyMS = -1 },
--- a/internal/upstream/choice.go
+++ b/internal/upstream/choice.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
+	"github.com/jacinthbend/jacinthbend/internal/spill"
 )
 
 // Choice is the upstream selected for an attempt.
@@ -24,6 +25,8 @@
 	// UncachedTokens is the number of prompt tokens that are not in the prefix
 	// cache of the upstream.
 	UncachedTokens int
+	// Leaves is why the request leaves the data centre for Upstream, or empty.
+	Leaves spill.Reason
 	// NeedsPermit means that the upstream is cold or names a rate limit, and its agent
 	// decides whether a request may be sent. Permitted means that it may.
 	NeedsPermit, Permitted bool
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -8,6 +8,7 @@
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 	"github.com/jacinthbend/jacinthbend/internal/rendezvous"
 	"github.com/jacinthbend/jacinthbend/internal/speed"
+	"github.com/jacinthbend/jacinthbend/internal/spill"
 )
 
 // candidate is a usable upstream with the values by which Pick compares it.
@@ -32,6 +33,8 @@
 	// ties.
 	rank   uint64
 	ranked bool
+	// reason is why q leaves the data centre for the upstream, or empty.
+	reason spill.Reason
 }
 
 // Pick chooses an upstream for q.
@@ -55,7 +58,7 @@
 	if len(candidates) == 0 {
 		return nil, noCandidate(wait)
 	}
-	best := p.retest(q, candidates, fastest(candidates, q.Model), now)
+	best := p.retest(q, candidates, p.bestSide(q, candidates, now), now)
 	return best.choice(), Unavailable{}
 }
 
@@ -102,6 +105,7 @@
 func (p *Pool) candidate(s *state, q *Query, hashes []uint64, model float64, now time.Time) candidate {
 	c := candidate{state: s}
 	l := s.loadSnapshot(now, p.dataCentre)
+	l.remote = l.remote && p.bounds.SpillWeight == 0
 	c.failurePenalty = speed.Milliseconds(l.failureRate * failurePenaltyMS)
 	if !q.Repeatable && s.health.suspected(now) {
 		c.rankShift = suspectPenalty
@@ -136,15 +140,24 @@
 func fastest(candidates []candidate, model string) *candidate {
 	best := &candidates[0]
 	for i := range candidates[1:] {
-		c := &candidates[1+i]
-		d := cmp.Compare(c.delay+c.rankShift, best.delay+best.rankShift)
-		if d < 0 || d == 0 && c.rankFor(model) < best.rankFor(model) {
+		if c := &candidates[1+i]; c.before(best, model) {
 			best = c
 		}
 	}
 	return best
 }
 
+// compare compares candidates by delay and rankShift.
+func (c *candidate) compare(other *candidate) int {
+	return cmp.Compare(c.delay+c.rankShift, other.delay+other.rankShift)
+}
+
+// before reports whether c comes before other, among equal ones by the lower rank.
+func (c *candidate) before(other *candidate, model string) bool {
+	d := c.compare(other)
+	return d < 0 || d == 0 && c.rankFor(model) < other.rankFor(model)
+}
+
 // Parameters of additional copies of a model.
 const (
 	// replicaDelayShare is the fraction of the objective above which the
@@ -269,7 +282,7 @@
 
 // pickLoaded chooses among the engines that have the model loaded.
 func (p *Pool) pickLoaded(q *Query, withModel []candidate, now time.Time) (*Choice, Unavailable) {
-	best := p.retest(q, withModel, fastest(withModel, q.Model), now)
+	best := p.retest(q, withModel, p.bestSide(q, withModel, now), now)
 	choice := best.choice()
 	if choice.NeedsLoad = !best.hasAdapter; choice.NeedsLoad {
 		choice.LoadTime = adapterLoadTime + best.state.remainingLoadTime(now)
@@ -393,5 +406,5 @@
 }
 
 func (c *candidate) choice() *Choice {
-	return &Choice{NeedsPermit: c.needsPermit, Cold: c.cold, RateLimit: c.rateLimit, Upstream: c.state.upstream, AgentAddr: c.state.agentAddr, Delay: c.delay, UncachedTokens: c.uncachedTokens}
+	return &Choice{NeedsPermit: c.needsPermit, Cold: c.cold, RateLimit: c.rateLimit, Upstream: c.state.upstream, AgentAddr: c.state.agentAddr, Delay: c.delay, UncachedTokens: c.uncachedTokens, Leaves: c.reason}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,9 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/jacinthbend/jacinthbend/internal/agentapi"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 	"github.com/jacinthbend/jacinthbend/internal/speed"
+	"github.com/jacinthbend/jacinthbend/internal/spill"
 )
 
 // Bounds are the limits on the requests of all instances to cold upstreams.
@@ -19,6 +22,9 @@
 	// DrainTime is for how long after its announcement a leaving upstream still takes requests;
 	// 0 is unknown.
 	DrainTime time.Duration
+	// SpillWeight is the part of the price of bytes between data centres that counts in the
+	// decision whether a request leaves its data centre; 0 is no decision, but a constant delay.
+	SpillWeight float64
 }
 
 // Pool tracks all upstreams known to an instance. It is safe for concurrent
@@ -63,6 +69,12 @@
 	// loadProgress has the channels to close when an engine starts or ends to load a
 	// model.
 	loadProgress map[copyKey]chan struct{}
+	// entriesHere is the number of entry instances in the data centre of this one.
+	entriesHere int
+	// dampers and answerBytes are by service.
+	dampers     map[string]*spill.Damper
+	answerBytes map[string]*meanBytes
+	crossings   *crossings
 	// fleetDemand, if set, is the demand of several instances.
 	fleetDemand FleetDemand
 }
@@ -70,7 +82,7 @@
 // NewPool returns the pool of the entry instance called self, without
 // upstreams.
 func NewPool(self, dataCentre string, b Bounds) *Pool {
-	return &Pool{index: newModelIndex(), self: self, bounds: b, dataCentre: dataCentre, states: make(map[string]*state), answers: make(map[string]answer), demands: make(map[string]*modelDemand), speeds: make(map[string]*speed.Group), storeLimits: make(map[string]*storeLimit), lastAvailable: make(map[string]time.Time), loadProgress: make(map[copyKey]chan struct{})}
+	return &Pool{index: newModelIndex(), self: self, bounds: b, dataCentre: dataCentre, states: make(map[string]*state), answers: make(map[string]answer), demands: make(map[string]*modelDemand), speeds: make(map[string]*speed.Group), storeLimits: make(map[string]*storeLimit), lastAvailable: make(map[string]time.Time), loadProgress: make(map[copyKey]chan struct{}), dampers: make(map[string]*spill.Damper), answerBytes: make(map[string]*meanBytes), crossings: newCrossings(metrics.NewSet())}
 }
 
 // Update applies a new view.
@@ -80,6 +92,7 @@
 	defer p.mu.Unlock()
 	old := p.view
 	p.view, p.entryRank, p.entryCount = v, v.EntryRank(p.self), v.EntryCount()
+	p.entriesHere = entriesIn(v, p.dataCentre)
 	for id, u := range v.Upstreams {
 		s, ok := p.states[id]
 		if !ok {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -226,7 +226,7 @@
 				t.Fatalf("%s: unusable upstream was chosen", name)
 			}
 			time.Sleep(time.Millisecond)
-			ticket.DataReceived()
+			ticket.DataReceived(1)
 			got, _ := p.Pick(q)
 			check.True(got != nil) // the engine responds although its agent does not
 		}
--- a/internal/upstream/score.go
+++ b/internal/upstream/score.go
@@ -8,8 +8,8 @@
 
 // Parts of the estimated delay that do not depend on the speed of an upstream.
 const (
-	// crossDataCentreMS is added for an upstream in another data centre; it
-	// includes the cost of the traffic.
+	// crossDataCentreMS is added for an upstream in another data centre, unless
+	// Bounds.SpillWeight is set; it includes the cost of the traffic.
 	crossDataCentreMS = 4.0
 	// failurePenaltyMS is added for an upstream that fails all its requests, and in
 	// proportion for one that fails some.
@@ -28,7 +28,8 @@
 	// those of all callers.
 	inFlight, running, queued int
 	failureRate               float64
-	remote                    bool
+	// remote tells that crossDataCentreMS is added.
+	remote bool
 }
 
 // runningNow returns how many requests run at the upstream.
--- a/internal/upstream/ticket.go
+++ b/internal/upstream/ticket.go
@@ -27,6 +27,10 @@
 	// learns tells that the time to the header says something of the upstream's speed.
 	learns bool
 	events eventTimes
+	// crossing counts the attempt's bytes if it leaves the data centre, or is nil.
+	crossing *crossing
+	// received is the number of bytes of the response.
+	received int
 }
 
 // Begin starts an attempt; the caller must call End on the ticket. It returns
@@ -53,6 +57,7 @@
 	s.sends.Add(now)
 	s.lastSent = now
 	s.inFlight++
+	t.crossing = p.beginCrossing(s, c, q)
 	s.pendingTokens += t.pendingTokens
 	if q.Model != "" {
 		u := s.usage(t.name)
@@ -82,11 +87,13 @@
 	return limitBefore
 }
 
-// DataReceived records that a part of the response body arrived.
-func (t *Ticket) DataReceived() {
+// DataReceived records that n bytes of the response body arrived.
+func (t *Ticket) DataReceived(n int) {
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	t.state.lastContact = time.Now()
+	t.received += n
+	t.crossing.addBytes(n)
 }
 
 func (t *Ticket) promptRead() {
@@ -110,6 +117,9 @@
 		u.inFlight--
 	}
 	t.state.health.record(o, time.Now())
+	if o == Served {
+		t.pool.recordAnswerBytes(t.state.upstream.Service, t.received)
+	}
 	if o == Unreachable {
 		t.state.prefixes.clear()
 	}
