soak: let the entry instances decide which requests leave

Cause: the soak did not set spill_weight, so it did not run the decision. Change: its entry instances have weight 1.

--- a/bench/soak/testbed.go
+++ b/bench/soak/testbed.go
@@ -259,7 +259,7 @@
 	}
 	return &instance{storeLink: link}, settings.Managed{
 		Instance: name, DataCentre: dataCentre(i), BindIP: "127.0.0.1", PortRange: [2]int{port, port + portsPerProcess - 1},
-		StoreAddr: link.addr(), FirstStart: true, MemoryMB: 200, Bounds: bounds,
+		StoreAddr: link.addr(), FirstStart: true, MemoryMB: 200, SpillWeight: 1, Bounds: bounds,
 	}, nil
 }
 
