--- a/internal/upstream/ticket.go
+++ b/internal/upstream/ticket.go
@@ -29,6 +29,10 @@
 	events eventTimes
 	// busy is nil unless the number of the service's servers is decided here.
 	busy *busyMean
+	// crossing counts the attempt's bytes if it leaves the data centre, or is nil.
+	crossing *crossing
+	// received is the number of bytes of the response.
+	received int
 }
 
 // Begin starts an attempt; the caller must call End on the ticket. It returns
@@ -55,6 +59,7 @@
 	s.sends.Add(now)
 	s.lastSent = now
 	s.inFlight++
+	t.crossing = p.beginCrossing(s, c, q)
 	s.pendingTokens += t.pendingTokens
 	if t.busy = p.busyOf(s, now); t.busy != nil {
 		t.busy.add(1, now)
@@ -87,11 +92,13 @@
 	return limitBefore
 }
 
-// DataReceived records that a part of the response body arrived.
-func (t *Ticket) DataReceived() {
+// DataReceived records that n bytes of the response body arrived.
+func (t *Ticket) DataReceived(n int) {
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	t.state.lastContact = time.Now()
+	t.received += n
+	t.crossing.addBytes(n)
 }
 
 func (t *Ticket) promptRead() {
@@ -118,6 +125,9 @@
 		u.inFlight--
 	}
 	t.state.health.record(o, time.Now())
+	if o == Served {
+		t.pool.recordAnswerBytes(t.state.upstream.Service, t.received)
+	}
 	if o == Unreachable {
 		t.state.prefixes.clear()
 	}
