Keep tokens only for callers that they serve within their objective

Cause: tokens were kept for refused callers up to a third of their deadline. They were served late, in place of callers who would have been in time, who were refused and came back late in turn. Change: a request waits within half of its objective as before; tokens are booked for its return within 0.8 of it. Later ones are not booked.

--- a/internal/admission/caller.go
+++ b/internal/admission/caller.go
@@ -14,49 +14,33 @@
 }
 
 const (
-	// objectiveShare is the part of the objective within which tokens must be there. The rest is
-	// for the upstream, which must begin its answer within the objective.
-	objectiveShare = 0.5
+	// waitShare is the part of the objective within which tokens must be there for a request that
+	// waits here. The rest is for the upstream, which must begin its answer within the objective.
+	waitShare = 0.5
+	// bookShare is the part of the objective within which tokens are kept for a caller. Later ones
+	// would serve it late, in place of another caller of its team whom they serve in time.
+	bookShare = 0.8
 	// returnShare is the largest part of its remaining time after which a refused caller comes
 	// back.
 	returnShare = 1.0 / 3
-	// lateShare is the part of its time for which a request waits that could not come back. The
-	// rest is for the upstream: tokens that are spent on an answer after the deadline serve
-	// nobody.
-	lateShare = 0.6
 )
 
 // MayWait reports whether a request waits here for tokens that are promised after eta.
 func (c Caller) MayWait(now time.Time, eta time.Duration) bool {
-	if c.Objective <= 0 {
-		return false
-	}
-	at := now.Add(eta)
-	if !at.After(c.Start.Add(time.Duration(objectiveShare * float64(c.Objective)))) {
-		return true
-	}
-	return eta > c.longestReturn(now) && !at.After(c.latest())
+	return c.Objective > 0 && !now.Add(eta).After(c.within(waitShare))
 }
 
-// Longest returns after which time tokens are of no use to the caller, whether it waits here or
-// comes back.
+// Longest returns after which time tokens do not serve the caller within its objective any more, whether
+// it waits here or comes back.
 func (c Caller) Longest(now time.Time) time.Duration {
-	longest := c.longestReturn(now)
-	if c.Objective > 0 {
-		longest = max(longest, c.latest().Sub(now))
+	if c.Objective <= 0 {
+		return 0
 	}
-	return max(0, longest)
+	returns := min(c.within(bookShare).Sub(now), time.Duration(returnShare*float64(c.Deadline.Sub(now))))
+	return max(0, returns, c.within(waitShare).Sub(now))
 }
 
-func (c Caller) longestReturn(now time.Time) time.Duration {
-	return time.Duration(returnShare * float64(c.Deadline.Sub(now)))
-}
-
-// latest returns until when a request that could not come back waits.
-func (c Caller) latest() time.Time {
-	patience := c.Deadline.Sub(c.Start)
-	if c.Patience > 0 {
-		patience = min(patience, c.Patience)
-	}
-	return c.Start.Add(time.Duration(lateShare * float64(patience)))
+// within returns when a part of the objective is over.
+func (c Caller) within(share float64) time.Time {
+	return c.Start.Add(time.Duration(share * float64(c.Objective)))
 }
