--- a/internal/admission/caller.go
+++ b/internal/admission/caller.go
@@ -8,9 +8,6 @@
 	// Objective is the time within which an answer is worth all; 0 is unknown, and the request
 	// never waits.
 	Objective time.Duration
-	// Patience is how long after Start the caller leaves unless its response has begun; 0 means
-	// that it stays until the deadline.
-	Patience time.Duration
 }
 
 const (
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -67,11 +67,7 @@
 
 // quotaCaller describes the caller to package admission.
 func (r *request) quotaCaller() admission.Caller {
-	c := admission.Caller{Start: r.start, Deadline: r.deadline, Objective: r.route.Objective}
-	if r.route.Kind == fleet.Streaming {
-		c.Patience = maxEventGap(r.route)
-	}
-	return c
+	return admission.Caller{Start: r.start, Deadline: r.deadline, Objective: r.route.Objective}
 }
 
 // mayWait reports whether the request waits here for what the decision promises.
--- a/internal/tokenquota/caller_test.go
+++ b/internal/tokenquota/caller_test.go
@@ -95,7 +95,7 @@
 
 // attempt plays one request at an instance.
 func (c *callers) attempt(l *Limiter, k callerKind, ask admission.Ask, deadline time.Time) (ok, waited bool, wait time.Duration) {
-	caller := admission.Caller{Start: time.Now(), Deadline: deadline, Objective: k.objective, Patience: k.patience}
+	caller := admission.Caller{Start: time.Now(), Deadline: deadline, Objective: k.objective}
 	for ; ; waited = true {
 		ask.Longest = caller.Longest(time.Now())
 		r := NewRequest(ask)
