--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -27,12 +27,16 @@
 	env.gateway.Update(&v)
 }
 
+// hang returns a script that answers nothing until the test ends.
+func hang(t *testing.T) script {
+	return func(net.Conn, receivedRequest) bool { <-t.Context().Done(); return false }
+}
+
 // TestCrashAfterTheRequestWasGivenUp guards against a request that is repeated without an end because
 // its upstreams crash only after its attempts have timed out: no attempt sees the connection end.
 func TestCrashAfterTheRequestWasGivenUp(t *testing.T) {
 	check := is.New(t)
-	hang := func(_ net.Conn, _ receivedRequest) bool { time.Sleep(time.Second); return false }
-	env := newEnv(t, hang)
+	env := newEnv(t, hang(t))
 	for i := range 3 {
 		resp := env.send("POST", "/short/", "x")
 		check.Equal(resp.status, 504)
@@ -54,7 +58,7 @@
 // upstream that had announced it.
 func TestLeavingAfterTheRequestWasGivenUp(t *testing.T) {
 	check := is.New(t)
-	env := newEnv(t, func(_ net.Conn, _ receivedRequest) bool { time.Sleep(time.Second); return false })
+	env := newEnv(t, hang(t))
 	_ = env.send("POST", "/short/", "x")
 	env.waitIdle()
 	v := *env.view
