config: name the kind of rule that a problem breaks

Cause: programs can tell the errors of a document apart only by the text of the reason. Change: each problem has a Rule with a stable name, which the JSON form of a problem does not contain. Result: the tests of internal/config, internal/cli and docs pass with the race detector; none was changed.

--- a/internal/config/change.go
+++ b/internal/config/change.go
@@ -68,7 +68,7 @@
 	for _, c := range changes {
 		s, ok := sectionByName(c.Section)
 		if !ok {
-			problems.add(Root.Field(string(c.Section)), nil, "unknown section")
+			problems.add(RuleUnknownField, Root.Field(string(c.Section)), nil, "unknown section")
 			continue
 		}
 		// Copy each section once. A copy per change takes quadratic time: 27 s
@@ -88,7 +88,7 @@
 func applyChange(s section, doc *Document, c record.EntryChange, problems *Problems) {
 	path := EntryPath(c.Section, c.ID)
 	if c.Section == record.SectionLimits && c.ID != LimitsID {
-		problems.add(path, c.ID, "the only entry of the limits section is %q", LimitsID)
+		problems.add(RuleFormat, path, c.ID, "the only entry of the limits section is %q", LimitsID)
 		return
 	}
 	value := changeValue(c)
@@ -100,7 +100,7 @@
 		}
 	}
 	if err := s.apply(doc, c.ID, value); err != nil {
-		problems.add(path, string(c.Value), "%v", err)
+		problems.add(RuleType, path, string(c.Value), "%v", err)
 	}
 }
 
--- a/internal/config/check_routes.go
+++ b/internal/config/check_routes.go
@@ -19,10 +19,10 @@
 		c.checkTeamIDs(loc.Field("teams"), route.Teams)
 		checkRange(c, loc.Field("cost_tokens"), route.CostTokens, 0, maxTokens)
 		if route.Open && len(route.Teams) > 0 {
-			c.add(loc.Field("teams"), nil, "must be absent: an open route is not limited to teams")
+			c.add(RuleConflict, loc.Field("teams"), nil, "must be absent: an open route is not limited to teams")
 		}
 		if route.Open && route.CostTokens > 0 {
-			c.add(loc.Field("cost_tokens"), route.CostTokens, "must be absent: calls to an open route are not charged to a team")
+			c.add(RuleConflict, loc.Field("cost_tokens"), route.CostTokens, "must be absent: calls to an open route are not charged to a team")
 		}
 	}
 }
@@ -30,10 +30,10 @@
 func (c *checker) checkMethods(loc location, methods []string) {
 	for i, m := range methods {
 		if !slices.Contains(routeMethods, m) {
-			c.add(loc.Index(i), m, "must be one of %v", routeMethods)
+			c.add(RuleFormat, loc.Index(i), m, "must be one of %v", routeMethods)
 		}
 		if slices.Contains(methods[:i], m) {
-			c.add(loc.Index(i), m, "repeated method")
+			c.add(RuleRepeated, loc.Index(i), m, "repeated method")
 		}
 	}
 }
@@ -57,6 +57,6 @@
 	checkRange(c, loc.Field("idempotency_window_s"), limits.IdempotencyWindowS, 0, 30*86_400)
 	effective := limits.WithDefaults()
 	if effective.DefaultDeadlineMS > effective.MaxDeadlineMS {
-		c.add(loc.Field("default_deadline_ms"), effective.DefaultDeadlineMS, "must be at most max_deadline_ms, which is %d", effective.MaxDeadlineMS)
+		c.add(RuleConflict, loc.Field("default_deadline_ms"), effective.DefaultDeadlineMS, "must be at most max_deadline_ms, which is %d", effective.MaxDeadlineMS)
 	}
 }
--- a/internal/config/check_teams.go
+++ b/internal/config/check_teams.go
@@ -26,7 +26,7 @@
 		checkRange(c, loc.Field("weight"), team.Weight, 0, maxWeight)
 		minBurst := minBurstGrants * team.RateTokensPerS * GrantTTLSeconds
 		if finite(minBurst) && team.BurstTokens < minBurst {
-			c.add(loc.Field("burst_tokens"), team.BurstTokens,
+			c.add(RuleConflict, loc.Field("burst_tokens"), team.BurstTokens,
 				"must be at least %v, which is %d x the rate x %v s", minBurst, minBurstGrants, GrantTTLSeconds)
 		}
 	}
@@ -38,17 +38,17 @@
 		key := c.doc.Keys[id]
 		loc := locationOf(record.SectionKeys, id)
 		if _, ok := c.doc.Teams[key.Team]; !ok {
-			c.add(loc.Field("team"), key.Team, "there is no such team")
+			c.add(RuleReference, loc.Field("team"), key.Team, "there is no such team")
 		}
 		if len(key.Note) > maxNoteBytes {
-			c.add(loc.Field("note"), key.Note, "must have at most %d bytes", maxNoteBytes)
+			c.add(RuleRange, loc.Field("note"), key.Note, "must have at most %d bytes", maxNoteBytes)
 		}
 		if !hashPattern.MatchString(key.SHA256) {
-			c.add(loc.Field("sha256"), key.SHA256, "must be 64 lower-case hexadecimal digits")
+			c.add(RuleFormat, loc.Field("sha256"), key.SHA256, "must be 64 lower-case hexadecimal digits")
 			continue
 		}
 		if other, ok := idByHash[key.SHA256]; ok {
-			c.add(loc.Field("sha256"), key.SHA256, "is also the hash of key %q", other)
+			c.add(RuleRepeated, loc.Field("sha256"), key.SHA256, "is also the hash of key %q", other)
 			continue
 		}
 		idByHash[key.SHA256] = id
@@ -59,10 +59,10 @@
 	for id, dc := range c.doc.DataCentres {
 		loc := locationOf(record.SectionDataCentres, id)
 		if !idPattern.MatchString(dc.Region) {
-			c.add(loc.Field("region"), dc.Region, "a region must match %s", idPattern)
+			c.add(RuleFormat, loc.Field("region"), dc.Region, "a region must match %s", idPattern)
 		}
 		if dc.State != "" && dc.State != DataCentreIn && dc.State != DataCentreOut {
-			c.add(loc.Field("state"), string(dc.State), "must be %q or %q", DataCentreIn, DataCentreOut)
+			c.add(RuleFormat, loc.Field("state"), string(dc.State), "must be %q or %q", DataCentreIn, DataCentreOut)
 		}
 	}
 }
--- a/internal/config/checker.go
+++ b/internal/config/checker.go
@@ -27,15 +27,15 @@
 	problems Problems
 }
 
-func (c *checker) add(loc location, value any, format string, args ...any) {
-	c.problems.add(loc.path(), value, format, args...)
+func (c *checker) add(rule Rule, loc location, value any, format string, args ...any) {
+	c.problems.add(rule, loc.path(), value, format, args...)
 }
 
 func (c *checker) checkIDs() {
 	for _, s := range sections {
 		for _, id := range s.ids(c.doc) {
 			if !idPattern.MatchString(id) {
-				c.add(locationOf(s.name(), id), id, "an id must match %s", idPattern)
+				c.add(RuleFormat, locationOf(s.name(), id), id, "an id must match %s", idPattern)
 			}
 		}
 	}
@@ -44,29 +44,29 @@
 // checkRange adds a problem unless low <= value <= high. It rejects NaN.
 func checkRange[N cmp.Ordered](c *checker, loc location, value, low, high N) {
 	if !(value >= low && value <= high) {
-		c.add(loc, value, "must be from %v to %v", low, high)
+		c.add(RuleRange, loc, value, "must be from %v to %v", low, high)
 	}
 }
 
 func (c *checker) checkPositive(loc location, value, high float64) {
 	if !(value > 0 && value <= high) {
-		c.add(loc, value, "must be more than 0 and at most %v", high)
+		c.add(RuleRange, loc, value, "must be more than 0 and at most %v", high)
 	}
 }
 
 func (c *checker) checkVersion(loc location, version string) {
 	if len(version) > maxVersionBytes {
-		c.add(loc, version, "must have at most %d bytes", maxVersionBytes)
+		c.add(RuleRange, loc, version, "must have at most %d bytes", maxVersionBytes)
 	}
 }
 
 func (c *checker) checkTeamIDs(loc location, ids []string) {
 	for i, id := range ids {
 		if _, ok := c.doc.Teams[id]; !ok {
-			c.add(loc.Index(i), id, "there is no such team")
+			c.add(RuleReference, loc.Index(i), id, "there is no such team")
 		}
 		if slices.Contains(ids[:i], id) {
-			c.add(loc.Index(i), id, "repeated team")
+			c.add(RuleRepeated, loc.Index(i), id, "repeated team")
 		}
 	}
 }
@@ -76,11 +76,11 @@
 func (c *checker) checkPoolRef(loc location, id string, kind PoolKind) (Pool, bool) {
 	pool, ok := c.doc.Pools[id]
 	if !ok {
-		c.add(loc, id, "there is no such pool")
+		c.add(RuleReference, loc, id, "there is no such pool")
 		return pool, false
 	}
 	if pool.Kind != kind {
-		c.add(loc, id, "must name a pool of kind %q, but this one is %q", kind, pool.Kind)
+		c.add(RuleReference, loc, id, "must name a pool of kind %q, but this one is %q", kind, pool.Kind)
 		return pool, false
 	}
 	return pool, true
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -36,7 +36,7 @@
 	var doc Document
 	if err := json.Unmarshal(data, &doc); err != nil {
 		if len(problems) == 0 {
-			problems.add(Root, nil, "%v", err)
+			problems.add(RuleType, Root, nil, "%v", err)
 		}
 		return Document{}, problems
 	}
@@ -80,7 +80,7 @@
 			return fmt.Errorf("member name expected at %s", path)
 		}
 		if seen[name] {
-			problems.add(path.Field(name), nil, "repeated field")
+			problems.add(RuleRepeated, path.Field(name), nil, "repeated field")
 		}
 		seen[name] = true
 		if err := walkValue(dec, path.Field(name), problems); err != nil {
--- a/internal/config/problem.go
+++ b/internal/config/problem.go
@@ -11,6 +11,9 @@
 
 // Problem is one error in a document.
 type Problem struct {
+	// Rule is the kind of rule that the value breaks. The output of `config validate`
+	// does not contain it.
+	Rule Rule `json:"-"`
 	// Path is the location of the error in the document.
 	Path Path `json:"path"`
 	// Value is the offending value as JSON or text, shortened to 120 bytes.
--- a/internal/config/problems.go
+++ b/internal/config/problems.go
@@ -38,8 +38,8 @@
 	return out
 }
 
-func (ps *Problems) add(path Path, value any, format string, args ...any) {
-	*ps = append(*ps, Problem{Path: path, Value: formatValue(value), Reason: fmt.Sprintf(format, args...)})
+func (ps *Problems) add(rule Rule, path Path, value any, format string, args ...any) {
+	*ps = append(*ps, Problem{Rule: rule, Path: path, Value: formatValue(value), Reason: fmt.Sprintf(format, args...)})
 }
 
 // sorted sorts ps in place by path and reason and returns it without duplicates.
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -60,7 +60,7 @@
 	checkDuplicates(data, path, &problems)
 	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
 	if err != nil {
-		problems.add(path, string(data), "not valid JSON: %v", err)
+		problems.add(RuleSyntax, path, string(data), "not valid JSON: %v", err)
 		return problems
 	}
 	err = compiledSchemas()[section].Validate(value)
@@ -83,16 +83,16 @@
 	switch k := e.ErrorKind.(type) {
 	case *kind.AdditionalProperties:
 		for _, name := range k.Properties {
-			ps.add(path.Field(name), nil, "unknown field")
+			ps.add(RuleUnknownField, path.Field(name), nil, "unknown field")
 		}
 	case *kind.Required:
 		for _, name := range k.Missing {
-			ps.add(path.Field(name), nil, "required field is missing")
+			ps.add(RuleMissingField, path.Field(name), nil, "required field is missing")
 		}
 	case *kind.Type:
-		ps.add(path, displayValue(value), "must be of type %s, not %s", k.Want[0], k.Got)
+		ps.add(RuleType, path, displayValue(value), "must be of type %s, not %s", k.Want[0], k.Got)
 	default:
-		ps.add(path, displayValue(value), "does not match the schema")
+		ps.add(RuleType, path, displayValue(value), "does not match the schema")
 	}
 }
 
