config: keep what a team can spend at once, and the assumed completion, in one place

Cause: a check of a document has to know which requests a team's burst can never cover; the rule was in internal/budget and internal/entry, which do network I/O. Change: Team.Capacity and AssumedCompletionTokens are in internal/config, and both packages use them. Result: the tests of internal/budget, internal/entry and internal/config pass; none was changed.

--- a/internal/budget/refill.go
+++ b/internal/budget/refill.go
@@ -39,7 +39,7 @@
 	if len(p.bucketEstimates) != len(team.Owners) {
 		p.bucketEstimates = make([]bucketEstimate, len(team.Owners))
 	}
-	if d.firstTokens > teamCapacity(team.Team, own.ttl) {
+	if d.firstTokens > team.Team.Capacity(own.ttl) {
 		return errkind.New(errkind.OverRate, fmt.Sprintf("the request needs %.0f tokens, more than the team's burst allows", d.firstTokens))
 	}
 	r := round{holder: h, pool: p, team: team, size: team.shareCapacity(own.ttl), demand: d}
--- a/internal/budget/share_count.go
+++ b/internal/budget/share_count.go
@@ -1,7 +1,6 @@
 package budget
 
 import (
-	"math"
 	"time"
 
 	"github.com/jacinthbend/jacinthbend/internal/config"
@@ -27,15 +26,8 @@
 // depends only on the team's configuration and ttl, so that all instances agree.
 func ShareCount(t config.Team, ttl time.Duration) int {
 	n := minShares
-	for n < maxShares && teamCapacity(t, ttl)/float64(2*n) >= minShareTokens {
+	for n < maxShares && t.Capacity(ttl)/float64(2*n) >= minShareTokens {
 		n *= 2
 	}
 	return n
 }
-
-// teamCapacity returns the number of tokens that all shares together can issue
-// at once. It is the burst less what the rate yields within ttl, because tokens
-// may be spent up to ttl after they were issued.
-func teamCapacity(t config.Team, ttl time.Duration) float64 {
-	return math.Max(0, t.BurstTokens-t.RateTokensPerS*ttl.Seconds())
-}
--- a/internal/budget/team_shares.go
+++ b/internal/budget/team_shares.go
@@ -19,7 +19,7 @@
 
 // shareCapacity returns the capacity of one share's bucket in tokens.
 func (t *TeamShares) shareCapacity(ttl time.Duration) float64 {
-	return teamCapacity(t.Team, ttl) / float64(len(t.Owners))
+	return t.Team.Capacity(ttl) / float64(len(t.Owners))
 }
 
 // assignOwners determines the owners of all shares, with Since set to now.
--- a/internal/entry/budget.go
+++ b/internal/entry/budget.go
@@ -1,6 +1,10 @@
 package entry
 
-import "context"
+import (
+	"context"
+
+	"github.com/jacinthbend/jacinthbend/internal/config"
+)
 
 // Budget charges requests against the token quotas of the teams.
 type Budget interface {
@@ -17,7 +21,7 @@
 	bytesPerToken = 4
 	// defaultMaxTokens is the assumed length of the completion when the request sets
 	// no max_tokens.
-	defaultMaxTokens = 256
+	defaultMaxTokens = config.AssumedCompletionTokens
 )
 
 // estimate returns the tokens to reserve for a completion.
