cli: config check, which reports errors, warnings and risky changes before a publication

Cause: config validate and config diff show errors and the JSON of changed entries; neither says what a publication does to callers, and a script cannot tell a harmless change from one that withdraws a key. A test keeps the table of codes complete.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/jacinthbend/jacinthbend/internal/cli"
 	"github.com/jacinthbend/jacinthbend/internal/config"
+	"github.com/jacinthbend/jacinthbend/internal/configcheck"
 	"github.com/jacinthbend/jacinthbend/internal/errkind"
 	"github.com/jacinthbend/jacinthbend/internal/record"
 	"github.com/matryer/is"
@@ -64,6 +65,9 @@
 	for _, code := range cli.ExitCodes() {
 		is.Equal(len(rows(t, parts[0])[strconv.Itoa(int(code))]), 2) // a row per exit code
 	}
+	for _, code := range configcheck.Codes() {
+		is.Equal(len(rows(t, parts[0])[string(code)]), 3) // a row per code of a finding
+	}
 	parts = parts[1:]
 	is.Equal(len(parts), len(config.Sections()))
 	for i, section := range config.Sections() {
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -57,6 +57,9 @@
 		c.writeError(err)
 		return ExitFailed
 	}
+	if coded, ok := res.(exitCoder); ok {
+		return coded.exitCode()
+	}
 	return ExitOK
 }
 
--- a/internal/cli/config_commands.go
+++ b/internal/cli/config_commands.go
@@ -18,12 +18,13 @@
 
 func (c *Commands) registerConfig(app *kingpin.Application) {
 	group := app.Command("config", "Check, show, compare and publish the configuration document. "+
-		"To make a change: `config show > c.json`, edit c.json, `config diff c.json`, then `config publish c.json --base N`, "+
+		"To make a change: `config show > c.json`, edit c.json, `config check c.json`, then `config publish c.json --base N`, "+
 		"where N is the version that show printed.")
 	c.flags.addOutput(group)
 	c.registerValidate(group)
 	c.registerShow(group)
 	c.registerDiff(group)
+	c.registerCheck(group)
 	c.registerPublish(group)
 	c.registerHistory(group)
 }
--- a/internal/cli/exit_code.go
+++ b/internal/cli/exit_code.go
@@ -23,16 +23,19 @@
 	ExitUnavailable ExitCode = 5
 	// ExitUnknown means that the change may or may not have been published.
 	ExitUnknown ExitCode = 6
+	// ExitFindings means that `config check` found no errors, but findings of a
+	// severity that --fail-on names.
+	ExitFindings ExitCode = 7
 )
 
 // ExitCodes returns all exit codes in ascending order.
 func ExitCodes() []ExitCode {
-	return []ExitCode{ExitOK, ExitFailed, ExitUsage, ExitInvalid, ExitConflict, ExitUnavailable, ExitUnknown}
+	return []ExitCode{ExitOK, ExitFailed, ExitUsage, ExitInvalid, ExitConflict, ExitUnavailable, ExitUnknown, ExitFindings}
 }
 
 const exitHelp = `Exit codes: 0 done; 1 unexpected error; 2 wrong arguments; 3 configuration has errors; ` +
 	`4 another change was published first; 5 platform log unavailable, nothing published; ` +
-	`6 not known whether the change was published.`
+	`6 not known whether the change was published; 7 findings that --fail-on of config check names.`
 
 var exitByKind = map[errkind.Kind]ExitCode{
 	errkind.InvalidRequest: ExitUsage,
--- a/internal/cli/flags.go
+++ b/internal/cli/flags.go
@@ -32,10 +32,17 @@
 }
 
 func (f *flags) addLog(cmd *kingpin.CmdClause) {
-	cmd.Flag("log-url", "Base URL of the platform log.").
-		Envar(EnvLogURL).Required().StringVar(&f.logURL)
+	f.addOptionalLog(cmd).Required()
+}
+
+// addOptionalLog is like addLog for a command that can do without the log. It
+// returns the flag for the base URL.
+func (f *flags) addOptionalLog(cmd *kingpin.CmdClause) *kingpin.FlagClause {
+	logURL := cmd.Flag("log-url", "Base URL of the platform log.").Envar(EnvLogURL)
+	logURL.StringVar(&f.logURL)
 	cmd.Flag("timeout", "How long to keep trying while the platform log does not answer.").
 		Default("30s").DurationVar(&f.timeout)
+	return logURL
 }
 
 // addAuthor adds the flags whose values the audit trail records with a change.
--- a/internal/cli/result.go
+++ b/internal/cli/result.go
@@ -8,3 +8,8 @@
 type result interface {
 	writeText(w io.Writer)
 }
+
+// exitCoder is a result that determines the exit code of its command.
+type exitCoder interface {
+	exitCode() ExitCode
+}
--- a/internal/configcheck/check_limits.go
+++ b/internal/configcheck/check_limits.go
@@ -14,7 +14,7 @@
 	if intervalMS := 1000 / limits.StoreLoadsPerS; len(d.Models) > 1 && intervalMS > float64(limits.DefaultDeadlineMS) {
 		out.warn(CodeLoadsOverDeadline, path.Field("store_loads_per_s"),
 			"one load from the weight store begins every %.0f ms, but a request without a deadline of its own waits at most %d ms, "+
-				"so that requests for a second missing model fail; raise store_loads_per_s, or raise default_deadline_ms", intervalMS, limits.DefaultDeadlineMS)
+				"so that requests for two missing models at once fail; raise store_loads_per_s, or raise default_deadline_ms", intervalMS, limits.DefaultDeadlineMS)
 	}
 	windowMS := limits.IdempotencyWindowS * 1000
 	if windowMS < limits.MaxDeadlineMS && slices.ContainsFunc(slices.Collect(maps.Values(d.Routes)), func(r config.Route) bool { return !r.Repeatable }) {
