config: define the lifetime of a grant once

Cause: internal/budget and internal/config each had the 0.5 s, and a check that uses one of them could differ from the other. Change: config.GrantTTL is the only definition; budget.DefaultGrantTTL is equal to it.

--- a/internal/budget/options.go
+++ b/internal/budget/options.go
@@ -1,12 +1,16 @@
 package budget
 
-import "time"
+import (
+	"time"
+
+	"github.com/jacinthbend/jacinthbend/internal/config"
+)
 
 // Defaults of Options.
 const (
 	// DefaultMaxViewAge equals freshness.ViewBound.
 	DefaultMaxViewAge = 3 * time.Second
-	DefaultGrantTTL   = 500 * time.Millisecond
+	DefaultGrantTTL   = config.GrantTTL
 	// DefaultRequestTimeout is several times the round trip between regions.
 	DefaultRequestTimeout = 100 * time.Millisecond
 	// DefaultRequestsPerS keeps grant messages within 8 KB/s, at about 480 bytes
--- a/internal/config/check_teams.go
+++ b/internal/config/check_teams.go
@@ -4,13 +4,17 @@
 	"maps"
 	"regexp"
 	"slices"
+	"time"
 
 	"github.com/jacinthbend/jacinthbend/internal/record"
 )
 
-// GrantTTLSeconds is the lifetime of a grant of a team's token budget, in seconds.
-// Section 9.2 of the design page derives the bound on bursts from it.
-const GrantTTLSeconds = 0.5
+// GrantTTL is the lifetime of a grant of a team's token budget. Section 9.2 of the
+// design page derives the bound on bursts from it.
+const GrantTTL = 500 * time.Millisecond
+
+// GrantTTLSeconds is GrantTTL in seconds.
+const GrantTTLSeconds = float64(GrantTTL) / float64(time.Second)
 
 // minBurstGrants is the minimum burst of a team, counted in grants: the grant of
 // the previous interval may still be outstanding when the next one is issued.
--- a/internal/configcheck/check_routes.go
+++ b/internal/configcheck/check_routes.go
@@ -31,7 +31,7 @@
 	burst := 0.0
 	for _, team := range slices.Sorted(maps.Keys(d.Teams)) {
 		t := d.Teams[team]
-		if allowed(team, r.Teams) && t.Capacity(grantTTL) < r.CostTokens {
+		if allowed(team, r.Teams) && t.Capacity(config.GrantTTL) < r.CostTokens {
 			refused = append(refused, team)
 			burst = max(burst, burstFor(t, r.CostTokens))
 		}
