configcheck: tell limiting a route to its present teams from withdrawing access

Cause: an entry that is open to all teams and gets a list was always a risk, also if the list has every present team, and the message listed all of them.

--- a/internal/configcheck/findings_test.go
+++ b/internal/configcheck/findings_test.go
@@ -109,8 +109,7 @@
 	}},
 }
 
-// changeCases list the changes that edits of the sample cause. Codes of risks are
-// those in riskCases.
+// riskCases and changeCases list the changes that edits of the sample cause.
 var riskCases = []editCase{
 	{CodeTeamRemoved, "$.teams.beta", func(d *doc) { delete(d.Teams, "beta") }},
 	{CodeLowered, "$.teams.beta.rate_tokens_per_s", func(d *doc) { set(d.Teams, "beta", func(t *config.Team) { t.RateTokensPerS = 499 }) }},
@@ -177,6 +176,7 @@
 	{CodeChanged, "$.models.haiku.memory_mib", func(d *doc) { set(d.Models, "haiku", func(m *config.Model) { m.MemoryMiB++ }) }},
 	{CodeChanged, "$.adapters.formal.value", func(d *doc) { set(d.Adapters, "formal", func(a *config.Adapter) { a.Value = 1 }) }},
 	{CodeAccessGranted, "$.routes.invoices.teams", func(d *doc) { set(d.Routes, "invoices", func(r *config.Route) { r.Teams = []string{"alpha", "beta"} }) }},
+	{CodeAccessWithdrawn, "$.routes.search.teams", func(d *doc) { set(d.Routes, "search", func(r *config.Route) { r.Teams = []string{"beta", "alpha"} }) }},
 	{CodeMethodAdded, "$.routes.status.methods", func(d *doc) { set(d.Routes, "status", func(r *config.Route) { r.Methods = []string{"HEAD", "GET"} }) }},
 	{CodeLowered, "$.routes.invoices.cost_tokens", func(d *doc) { set(d.Routes, "invoices", func(r *config.Route) { r.CostTokens = 49 }) }},
 	{CodeSameMeaning, "$.teams.alpha", func(d *doc) { set(d.Teams, "alpha", func(t *config.Team) { t.Weight = 1 }) }},
