configcheck: test that an unchanged field gives no finding

Change: each case of a change expects exactly one finding for each changed entry; lists of teams have a test.

--- a/internal/configcheck/findings_test.go
+++ b/internal/configcheck/findings_test.go
@@ -183,7 +183,8 @@
 }
 
 // TestFindings checks that each defect or change is reported with its code, severity
-// and path, and that each code has a case. A wrong code or severity would let a
+// and path, and that each code has a case. Each changed entry of a case has one changed
+// field, so that a further finding is wrong. A wrong code or severity would let a
 // script publish a change that it is meant to stop.
 func TestFindings(t *testing.T) {
 	covered := make(map[Code]bool)
@@ -214,7 +215,7 @@
 				got = Warnings(next, sampleFleet())
 				is.New(t).Equal(config.Validate(next), nil) // a warning that validation makes unreachable
 			} else {
-				is.New(t).Equal(len(got) > 0, len(config.Diff(base, next)) > 0)
+				is.New(t).Equal(len(got), len(config.Diff(base, next))) // a finding for a field that did not change
 			}
 			expect(t, got, Finding{Code: c.code, Severity: severity, Path: config.Path(c.path)})
 		}
@@ -225,15 +226,23 @@
 	is.New(t).Equal(len(covered), len(Codes()))
 }
 
-// TestChangesAreExact guards against findings for fields that did not change: one
-// edited field must give one finding.
-func TestChangesAreExact(t *testing.T) {
+// TestRisksComeFirst guards against an order in which an operator reads harmless
+// changes first.
+func TestRisksComeFirst(t *testing.T) {
 	is := is.New(t)
 	next := sample(t)
-	set(next.Models, "haiku", func(m *config.Model) { m.MaxReplicas = 3 })
 	next.Limits.StoreLoads = 9
+	set(next.Models, "haiku", func(m *config.Model) { m.MaxReplicas = 3 })
 	got := Changes(sample(t), next)
 	is.Equal(len(got), 2)
-	is.Equal(got[0].Code, CodeLowered) // risks come first
+	is.Equal(got[0].Code, CodeLowered)
 	is.Equal(got[1].Code, CodeRaised)
 }
+
+// TestListTeams guards against messages that list hundreds of teams.
+func TestListTeams(t *testing.T) {
+	is := is.New(t)
+	is.Equal(listTeams([]string{"a"}), `team "a"`)
+	is.Equal(listTeams([]string{"a", "b", "c"}), "teams a, b, c")
+	is.Equal(listTeams([]string{"a", "b", "c", "d"}), "teams a, b, c and 1 more")
+}
