--- a/internal/tokenquota/caller_test.go
+++ b/internal/tokenquota/caller_test.go
@@ -25,7 +25,7 @@
 )
 
 // What is counted of callers: those served, refused at first, refused again, served later than the
-// objective, refused after a wait, and the largest tenth.
+// objective, refused after a wait, the largest tenth, and the tokens of those served.
 const (
 	sent = iota
 	served
@@ -35,6 +35,7 @@
 	inVain
 	largeSent
 	largeServed
+	tokensServed
 	resultCount
 )
 
@@ -51,6 +52,9 @@
 	rng     *rand.Rand
 	results map[string]*callerResults
 	spent   []timedTokens
+	// comeEarly makes callers that are told a time beyond a third of what they have left come back
+	// after that third. Otherwise they do not come back.
+	comeEarly bool
 }
 
 func newCallers(t *testing.T, g *limiterGroup, seed uint64) *callers {
@@ -74,6 +78,9 @@
 		start := time.Now()
 		ok, waited, wait := c.attempt(c.group.limiters[first], k, ask, start.Add(k.deadline))
 		atFirst, twice := ok, false
+		if c.comeEarly {
+			wait = min(wait, (k.deadline-time.Since(start))/3)
+		}
 		if !ok && wait <= (k.deadline-time.Since(start))/3 {
 			if k.hasty {
 				wait /= 10
@@ -84,8 +91,11 @@
 		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
+		if ok {
+			results[tokensServed] += int(ask.Tokens)
+		}
 		large := size > 0.8
-		for what, is := range [resultCount]bool{true, ok, !atFirst, twice, ok && time.Since(start) > k.objective, waited && !atFirst, large, large && ok} {
+		for what, is := range [resultCount]bool{true, ok, !atFirst, twice, ok && time.Since(start) > k.objective, waited && !atFirst, large, large && ok, false} {
 			if is {
 				results[what]++
 			}
@@ -98,6 +108,7 @@
 	caller := admission.Caller{Start: time.Now(), Deadline: deadline, Objective: k.objective}
 	for ; ; waited = true {
 		ask.Longest = caller.Longest(time.Now())
+		ask.Returns = caller.Returns(time.Now())
 		r := NewRequest(ask)
 		r.Counted = waited
 		d := l.Admit(c.t.Context(), "t", r)
