Keep tokens for late callers beside those in time, and let less urgent requests yield

Cause: in a burst, tokens were kept only for callers whom they serve in time. The others came back and took what was free at random, so 171 of 187 chats that were refused together were refused again, and the least urgent route, whose callers come back latest, was served best.

Change: tokens are also kept for a caller whom they serve late, if they are free beside what requests ask for that can be served within their objective (Demand.FreshRate). A caller for whom nothing is kept is told a whole window. A request is not admitted while more urgent ones were refused in the last 1.5 s, and booked only beside them. A caller that has come back is not booked again.

--- a/internal/admission/ask.go
+++ b/internal/admission/ask.go
@@ -14,8 +14,11 @@
 	Urgency int
 	// Digest identifies the request when its caller returns; 0 is unknown, and books nothing.
 	Digest uint64
-	// Longest is the longest time after which the tokens are of use; 0 books nothing.
+	// Longest is the longest time after which the tokens serve the caller within its objective.
 	Longest time.Duration
+	// Returns is the longest time after which the caller comes back if it is refused. Nothing is booked
+	// if both are 0.
+	Returns time.Duration
 }
 
 const (
--- a/internal/admission/caller.go
+++ b/internal/admission/caller.go
@@ -14,8 +14,9 @@
 	// waitShare is the part of the objective within which tokens must be there for a request that
 	// waits here. The rest is for the upstream, which must begin its answer within the objective.
 	waitShare = 0.5
-	// bookShare is the part of the objective within which tokens are kept for a caller. Later ones
-	// would serve it late, in place of another caller of its team whom they serve in time.
+	// bookShare is the part of the objective within which tokens that are kept for a caller serve it in
+	// time. Later ones are kept only beside what other callers of its team ask for whom they would serve in
+	// time (Demand.FreshRate).
 	bookShare = 0.8
 	// returnShare is the largest part of its remaining time after which a refused caller comes
 	// back.
@@ -33,8 +34,15 @@
 	if c.Objective <= 0 {
 		return 0
 	}
-	returns := min(c.within(bookShare).Sub(now), time.Duration(returnShare*float64(c.Deadline.Sub(now))))
-	return max(0, returns, c.within(waitShare).Sub(now))
+	return max(0, min(c.within(bookShare).Sub(now), c.Returns(now)), c.within(waitShare).Sub(now))
+}
+
+// Returns returns the longest time after which the caller comes back if it is refused.
+func (c Caller) Returns(now time.Time) time.Duration {
+	if c.Objective <= 0 {
+		return 0
+	}
+	return max(0, time.Duration(returnShare*float64(c.Deadline.Sub(now))))
 }
 
 // within returns when a part of the objective is over.
--- a/internal/admission/caller_test.go
+++ b/internal/admission/caller_test.go
@@ -36,15 +36,16 @@
 	}
 }
 
-// TestTokensKeptForLateCallers guards against tokens that are kept for callers whom they serve late: they
-// would be missing for others of the team whom they serve in time. On a calm day, twice as many answers
-// were late as without bookings.
+// TestTokensKeptForLateCallers guards against tokens that are kept for callers whom they serve late, as if they
+// served them in time: they would be missing for others of the team whom they serve in time. On a calm day, twice
+// as many answers were late as without bookings.
 func TestTokensKeptForLateCallers(t *testing.T) {
 	check := is.New(t)
 	now := time.Unix(1000, 0)
 	c := Caller{Start: now, Deadline: now.Add(15 * time.Second), Objective: 500 * time.Millisecond}
 	check.True(c.Longest(now) < c.Objective)
 	check.Equal(c.Longest(now.Add(c.Objective)), time.Duration(0))
+	check.Equal(c.Returns(now), 5*time.Second)
 	c.Objective = 5 * time.Second
 	check.True(c.Longest(now) >= 4*time.Second) // comes back in time
 }
--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -44,6 +44,8 @@
 type demandCell struct {
 	class, urgency   int
 	requests, tokens float64
+	// timed are the tokens of the requests that can still be served within their objective.
+	timed float64
 }
 
 // Add counts a request that asks at the time now since the epoch.
@@ -53,7 +55,11 @@
 	if s.number != number {
 		s.number, s.cells = number, s.cells[:0]
 	}
-	s.cells = addCell(s.cells, demandCell{a.class(), a.urgency(), 1, a.Tokens})
+	timed := 0.0
+	if a.Longest > 0 {
+		timed = a.Tokens
+	}
+	s.cells = addCell(s.cells, demandCell{a.class(), a.urgency(), 1, a.Tokens, timed})
 }
 
 func slotNumber(now, window time.Duration) int64 {
@@ -66,6 +72,7 @@
 		if cells[i].class == c.class && cells[i].urgency == c.urgency {
 			cells[i].requests += c.requests
 			cells[i].tokens += c.tokens
+			cells[i].timed += c.timed
 			return cells
 		}
 	}
@@ -96,12 +103,13 @@
 	}
 }
 
-// perWindow returns the tokens that are asked for in a window.
-func (s *demandSum) perWindow() float64 {
+// perWindow returns the tokens that are asked for in a window, of which the recent part is the fraction
+// recent.
+func (s *demandSum) perWindow(recent float64) float64 {
 	if s.recentRequests < minRecent {
 		return s.tokens
 	}
-	return max(s.tokens, s.recentTokens*demandSlots/recentSlots)
+	return max(s.tokens, s.recentTokens/recent)
 }
 
 // inWindow returns the tokens of the requests in a window that come before a: those that are much
@@ -117,7 +125,28 @@
 			small.add(c, recent)
 		}
 	})
-	return small.perWindow(), urgent.perWindow()
+	return small.perWindow(recentFraction(now, window)), urgent.perWindow(float64(recentSlots) / demandSlots)
+}
+
+// recentFraction returns which fraction of the window the recent part covers. Its last slot has just begun.
+func recentFraction(now, window time.Duration) float64 {
+	slot := max(1, window/demandSlots)
+	return float64((recentSlots-1)*slot+max(0, now)%slot) / float64(demandSlots*slot)
+}
+
+// FreshRate returns how many tokens for each second are asked for by requests that can be served within their
+// objective, and are as urgent as a or come before it. Tokens that serve a late are booked only beside
+// them. The newest slot does not count, so that callers that come together and are refused do not keep each
+// other from returning.
+func (d *Demand) FreshRate(a Ask, now, window time.Duration) float64 {
+	const slots = demandSlots - 1
+	sum, class, urgency := 0.0, a.class(), a.urgency()
+	d.current(now-window/demandSlots, window, func(c *demandCell, _ bool) {
+		if c.class <= class+1 && c.urgency <= urgency || smallerFactor*c.tokens <= c.requests*a.Tokens {
+			sum += c.timed
+		}
+	})
+	return sum / (slots * (window / demandSlots)).Seconds()
 }
 
 // ReserveRate returns how many tokens of a share a request must leave for each second until
--- a/internal/admission/refusals.go
+++ b/internal/admission/refusals.go
@@ -2,9 +2,10 @@
 
 import "time"
 
-// refusalMemory is for how long after a refusal less urgent requests get nothing. In a burst, a
-// holder refuses several requests of a kind in this time.
-const refusalMemory = 2 * time.Second
+// refusalMemory is for how long after a refusal less urgent requests get nothing but what is free beside
+// the demand of the more urgent ones. In a burst, a holder refuses several requests of a kind in this time. With
+// 2 s and more, tokens stayed unused in the replays of bursts; with less, they went to the least urgent route.
+const refusalMemory = 1500 * time.Millisecond
 
 // Refusals remembers the last request of each urgency and size class that was refused because
 // nothing was free in time. The zero value remembers none.
--- a/internal/entryrpc/quota_messages.go
+++ b/internal/entryrpc/quota_messages.go
@@ -15,16 +15,21 @@
 	Urgency int     `json:"urgency,omitempty"`
 	// Digest identifies the request when its caller returns.
 	Digest uint64 `json:"digest,omitempty"`
-	// LongestMS is the longest time after which the tokens are of use, in ms.
+	// LongestMS is the longest time after which the tokens serve the caller within its objective, in ms.
 	LongestMS int64 `json:"longest_ms,omitempty"`
+	// ReturnsMS is the longest time after which the caller comes back if it is refused, in ms.
+	ReturnsMS int64 `json:"returns_ms,omitempty"`
 }
 
 func newQuotaAsk(a admission.Ask) quotaAsk {
-	return quotaAsk{Size: a.Tokens, Urgency: a.Urgency, Digest: a.Digest, LongestMS: a.Longest.Milliseconds()}
+	return quotaAsk{Size: a.Tokens, Urgency: a.Urgency, Digest: a.Digest, LongestMS: a.Longest.Milliseconds(), ReturnsMS: a.Returns.Milliseconds()}
 }
 
 func (a quotaAsk) ask() admission.Ask {
-	return admission.Ask{Tokens: a.Size, Urgency: a.Urgency, Digest: a.Digest, Longest: time.Duration(a.LongestMS) * time.Millisecond}
+	return admission.Ask{
+		Tokens: a.Size, Urgency: a.Urgency, Digest: a.Digest,
+		Longest: time.Duration(a.LongestMS) * time.Millisecond, Returns: time.Duration(a.ReturnsMS) * time.Millisecond,
+	}
 }
 
 // borrowRequest asks to borrow tokens of a team's quota.
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -59,9 +59,10 @@
 
 // quotaAsk returns what the request asks of its team's quota.
 func (r *request) quotaAsk() admission.Ask {
+	caller, now := r.quotaCaller(), time.Now()
 	return admission.Ask{
 		Tokens: quotaCost(r.team, &r.attrs), Urgency: r.urgency(), Digest: r.identity().Hash(),
-		Longest: r.quotaCaller().Longest(time.Now()),
+		Longest: caller.Longest(now), Returns: caller.Returns(now),
 	}
 }
 
--- a/internal/tokenquota/booking.go
+++ b/internal/tokenquota/booking.go
@@ -109,7 +109,7 @@
 	}
 	complete := d.Booked
 	if !complete {
-		a.Longest = 0
+		a.Longest, a.Returns = 0, 0
 	}
 	for _, p := range pieces {
 		if complete && !p.at.Before(last) {
@@ -144,7 +144,7 @@
 
 // Book books tokens of a request from the first time on at which they are expected to be free,
 // if that is soon enough for its caller. Loans that were made to it here are returned first. A
-// booking whose tokens are of no use any more, with Longest 0, is cancelled.
+// booking whose tokens are of no use any more, with Longest and Returns 0, is cancelled.
 func (l *Limiter) Book(team string, r BookRequest) BookResult {
 	l.Return(team, r.Returned)
 	now := time.Now()
@@ -156,7 +156,7 @@
 	}
 	q.expire(l.window(), now)
 	early, wait, promised := l.promised(q, r.Digest, now)
-	if r.Longest <= 0 {
+	if r.Longest <= 0 && r.Returns <= 0 {
 		if promised.Kept {
 			q.contention.ledger.Remove(r.Digest)
 			l.bookings.cancelled.Inc()
@@ -171,6 +171,10 @@
 	if early {
 		return BookResult{Holder: true, Booked: true, Wait: wait, Promised: promised}
 	}
+	if promised.Known {
+		// Callers come back once: it would not use a booking for a further return.
+		r.Returns = 0
+	}
 	result := l.bookPiece(q, r, now)
 	result.Promised = promised
 	return result
@@ -186,15 +190,14 @@
 	}
 	q.contention.ledger.Withhold(s, 0)
 	s.Sum()
-	at, found := s.Earliest(r.Piece+bookingMargin, l.reserveRate(q, r.Ask, true, now))
-	result := BookResult{Holder: true, Wait: max(admission.Step, at-l.sinceEpoch(now))}
+	at, found := l.bookingTime(q, r, s, now)
+	result := BookResult{Holder: true, Booked: found, Wait: max(admission.Step, at-l.sinceEpoch(now))}
 	promise := admission.Promise{Digest: r.Digest, At: at}
-	if l.yields(q, r.Ask, now) {
-		// It is not known when more urgent requests are no longer refused. Who came back sooner
-		// would be refused again.
+	if found {
+		promise.Tokens = r.Piece + bookingMargin
+	} else {
+		// Nothing is kept for its return. Who came back sooner would be refused again.
 		result.Wait = max(result.Wait, l.window())
-	} else if found && result.Wait <= r.Longest {
-		promise.Tokens, result.Booked = r.Piece+bookingMargin, true
 	}
 	if r.Digest == 0 || !q.contention.ledger.Add(promise) {
 		result.Booked = false
@@ -208,9 +211,25 @@
 	return result
 }
 
+// bookingTime returns from when on the tokens of a request are free in the schedule s, and whether they are
+// booked then. They are if they serve it within its objective, or if its caller comes back for them and they are
+// free beside all requests that they would serve within their objective.
+func (l *Limiter) bookingTime(q *teamQuota, r BookRequest, s *admission.Schedule, now time.Time) (at time.Duration, book bool) {
+	rate := l.reserveRate(q, r.Ask, true, now)
+	if !l.yields(q, r.Ask, now) {
+		at, found := s.Earliest(r.Piece+bookingMargin, rate)
+		if found && at-l.sinceEpoch(now) <= r.Longest {
+			return at, true
+		}
+	}
+	rate = max(rate, q.contention.demand.FreshRate(r.Ask, l.sinceEpoch(now), l.window()))
+	at, found := s.Earliest(r.Piece+bookingMargin, rate)
+	return at, found && at-l.sinceEpoch(now) <= r.Returns
+}
+
 // CancelBooking cancels the booking of a request whose caller has left.
 func (l *Limiter) CancelBooking(ctx context.Context, team string, a admission.Ask, d Decision) {
-	a.Longest = 0
+	a.Longest, a.Returns = 0, 0
 	d.Loans = nil
 	for _, home := range d.homes {
 		// A booking that is not cancelled ends after its time.
--- a/internal/tokenquota/contention.go
+++ b/internal/tokenquota/contention.go
@@ -40,6 +40,8 @@
 	except, rate := uint64(0), 0.0
 	if due {
 		except = r.Digest
+	} else if l.yields(q, r.Ask, now) {
+		return 0
 	} else {
 		rate = l.reserveRate(q, r.Ask, false, now)
 	}
@@ -52,7 +54,7 @@
 	return s.Room(rate)
 }
 
-// yields reports whether nothing is booked for a request because more urgent ones are refused.
+// yields reports whether a request gets nothing now because more urgent ones are refused.
 func (l *Limiter) yields(q *teamQuota, a admission.Ask, now time.Time) bool {
 	return !l.ignoreReserve && q.contention.refusals.Before(a, l.sinceEpoch(now))
 }
--- a/internal/tokenquota/limiter.go
+++ b/internal/tokenquota/limiter.go
@@ -154,7 +154,7 @@
 	if l.holders != nil {
 		d = l.borrow(ctx, team, r, d)
 	}
-	if !d.Allowed && !d.Booked && !d.NoHolderAnswered && r.Longest > 0 {
+	if !d.Allowed && !d.Booked && !d.NoHolderAnswered && (r.Longest > 0 || r.Returns > 0) {
 		l.book(ctx, team, r.Ask, &d)
 	}
 	return d
