--- /dev/null
+++ b/internal/promptcache/tracker.go
@@ -0,0 +1,226 @@
+package promptcache
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/jacinthbend/jacinthbend/internal/fleet"
+)
+
+const (
+	// MinTokens is the size below which a part is not reported. An engine reads that many
+	// tokens in less than 2 ms, and the entry of a part costs 12 bytes for each instance.
+	MinTokens = 64
+	// maxKnown bounds the parts that a tracker knows, of which the largest are reported. An
+	// engine with memory for 225,000 tokens holds a few hundred.
+	maxKnown = 4096
+	// maxPartsOfFleet bounds the reported parts of all engines together, which each entry
+	// instance keeps: 65,536 parts of 9 bytes.
+	maxPartsOfFleet = 1 << 16
+	// fleetBytes is how many bytes of reports an entry instance gets a second from all engines
+	// together. The bound is 2 KB/s, since traffic between data centres is charged for.
+	fleetBytes = 1800.0
+	// maxEngineBytes is the rate of one engine where there are few.
+	maxEngineBytes = 400.0
+	// burstTime is for how long an unused rate is saved.
+	burstTime = 10 * time.Second
+	// baseInterval is the time between two reports with up to enginesAtBase engines; the
+	// polls of entry instances slow down beyond that number too, up to maxIntervalFactor.
+	baseInterval      = 500 * time.Millisecond
+	enginesAtBase     = 18
+	maxIntervalFactor = 5
+)
+
+// Tracker keeps what one engine has cached, by its events, and decides which of it is
+// reported. It is not safe for concurrent use.
+//
+// Each report goes to all entry instances, so there is one list for all. The largest changes
+// are reported first, as far as the rate allows. At MaxParts new parts wait until a listed one
+// leaves the cache: an engine evicts parts that are not used, so the oldest ones are shared.
+type Tracker struct {
+	parts map[uint64]*part
+	// gone are the removals of listed parts, oldest first.
+	gone []removal
+	// listed is the number of parts with a reported size, floor the size of the largest part
+	// that is cached and not listed.
+	listed int
+	floor  size
+	// completeSince is the version from which on changes are known.
+	completeSince uint64
+	changedAt     uint64
+	sequence      uint64
+
+	budget             float64
+	budgetAt, reportAt time.Time
+}
+
+type part struct {
+	// now is the size by the events, reported that in the reports as of version.
+	now, reported size
+	version       uint64
+	// sequence orders the parts by their last event.
+	sequence uint64
+}
+
+type removal struct {
+	hash    uint64
+	version uint64
+}
+
+// NewTracker returns a tracker of an engine with an empty cache.
+func NewTracker() *Tracker { return &Tracker{parts: make(map[uint64]*part)} }
+
+// Len returns the number of known and of reported parts.
+func (t *Tracker) Len() (known, listed int) { return len(t.parts), t.listed }
+
+// Reset discards the list as of version: callers that have an earlier one get a full list,
+// which is empty and says of no part that it would be listed.
+func (t *Tracker) Reset(version uint64) {
+	t.parts, t.gone, t.listed, t.floor = make(map[uint64]*part), nil, 0, math.MaxUint8
+	t.completeSince, t.changedAt = version, version
+}
+
+// Apply takes in an event.
+func (t *Tracker) Apply(e fleet.CacheEvent) {
+	t.sequence++
+	h := Hash(e.Name, e.ID)
+	p, ok := t.parts[h]
+	s := size(0)
+	if e.Tokens >= MinTokens {
+		s = sizeOf(e.Tokens)
+	}
+	if !ok {
+		if s == 0 {
+			return
+		}
+		t.makeRoom()
+		p = &part{}
+		t.parts[h] = p
+	}
+	p.now, p.sequence = s, t.sequence
+	if p.now == 0 && p.reported == 0 {
+		delete(t.parts, h)
+	}
+}
+
+// makeRoom forgets the part with the oldest event of those that are not listed. Listed ones
+// are at most MaxParts.
+func (t *Tracker) makeRoom() {
+	if len(t.parts) < maxKnown {
+		return
+	}
+	var oldest uint64
+	found := false
+	for h, p := range t.parts {
+		if p.reported == 0 && (!found || p.sequence < t.parts[oldest].sequence) {
+			oldest, found = h, true
+		}
+	}
+	if found {
+		delete(t.parts, oldest)
+	}
+}
+
+// change is a part whose reported size differs.
+type change struct {
+	hash uint64
+	part *part
+	gain int
+}
+
+// Publish adds changes to the list as of version, and reports whether there are any; engines
+// is the number of engines whose reports an entry instance gets.
+func (t *Tracker) Publish(version uint64, engines int, now time.Time) bool {
+	factor := min(maxIntervalFactor, max(1, float64(engines)/enginesAtBase))
+	if now.Sub(t.reportAt) < time.Duration(factor*float64(baseInterval)) {
+		return false
+	}
+	rate := min(maxEngineBytes, fleetBytes/float64(max(1, engines)))
+	if t.budgetAt.IsZero() {
+		t.budget = rate * burstTime.Seconds()
+	} else {
+		t.budget = min(rate*max(burstTime.Seconds(), float64(reportText+entryText)/rate), t.budget+rate*now.Sub(t.budgetAt).Seconds())
+	}
+	t.budgetAt = now
+	limit := min(MaxParts, max(1, maxPartsOfFleet/max(1, engines)))
+	n, floor, budget := 0, size(0), t.budget-float64(reportText)
+	for _, c := range t.pending() {
+		adds := c.part.reported == 0
+		if budget < entryText || adds && t.listed >= limit {
+			if adds {
+				floor = max(floor, c.part.now)
+			}
+			continue
+		}
+		budget -= entryText
+		n++
+		t.report(c, version)
+	}
+	if n == 0 && (floor <= t.floor || budget < 0) {
+		return false
+	}
+	t.floor, t.budget, t.reportAt, t.changedAt = floor, budget, now, version
+	return true
+}
+
+// pending returns the parts whose change is to be reported, the largest change first, and
+// removals before additions of the same size, since they make room.
+func (t *Tracker) pending() []change {
+	var out []change
+	for h, p := range t.parts {
+		gain := p.now.tokens() - p.reported.tokens()
+		if gain < 0 {
+			gain = -gain
+		}
+		// A listed part that grows or shrinks a little stays as it is.
+		if gain >= MinTokens && float64(gain) >= (1-wholeShare)*float64(p.now.tokens()) {
+			out = append(out, change{hash: h, part: p, gain: gain})
+		}
+	}
+	slices.SortFunc(out, func(a, b change) int {
+		return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.part.now, b.part.now), cmp.Compare(a.hash, b.hash))
+	})
+	return out
+}
+
+func (t *Tracker) report(c change, version uint64) {
+	if c.part.reported == 0 {
+		t.listed++
+	}
+	c.part.reported, c.part.version = c.part.now, version
+	if c.part.now != 0 {
+		return
+	}
+	t.listed--
+	delete(t.parts, c.hash)
+	t.gone = append(t.gone, removal{hash: c.hash, version: version})
+	if len(t.gone) > MaxParts {
+		t.completeSince = t.gone[0].version
+		t.gone = t.gone[1:]
+	}
+}
+
+// Report returns what a caller that has the report as of after does not have, or "" if that is
+// nothing. A caller that has none passes 0.
+func (t *Tracker) Report(after uint64) string {
+	if t.changedAt <= after || t.changedAt == 0 {
+		return ""
+	}
+	full := after < t.completeSince || after == 0
+	var entries []entry
+	for h, p := range t.parts {
+		if p.reported != 0 && (full || p.version > after) {
+			entries = append(entries, entry{hash: h, size: p.reported})
+		}
+	}
+	if !full {
+		for _, r := range t.gone {
+			if p, again := t.parts[r.hash]; r.version > after && (!again || p.reported == 0) {
+				entries = append(entries, entry{hash: r.hash})
+			}
+		}
+	}
+	return encodeReport(full, t.floor, entries)
+}
