Report what an engine has cached with the agent's state

The agent follows its engine's cache events and adds the changes that a caller does not have to the state that it polls. A change of the parts raises the version but does not end a waiting call, so that reports cause no further calls. Relays of agent states do not pass the parts on yet.

--- a/internal/agentapi/state.go
+++ b/internal/agentapi/state.go
@@ -1,7 +1,10 @@
 // Package agentapi defines the messages between entry instances and agents.
 package agentapi
 
-import "github.com/jacinthbend/jacinthbend/internal/fleet"
+import (
+	"github.com/jacinthbend/jacinthbend/internal/fleet"
+	"github.com/jacinthbend/jacinthbend/internal/promptcache"
+)
 
 // Paths of the calls that an agent serves.
 const (
@@ -45,6 +48,11 @@
 	// RateLimit is how many requests a second the engine takes from all entry instances
 	// together; 0 is no limit.
 	RateLimit float64 `json:"rate_limit,omitempty"`
+	// PromptParts is what the caller does not have yet of the report of the prompt parts that
+	// the engine has cached; empty if that is nothing, or the engine does not tell.
+	PromptParts string `json:"prompt_parts,omitempty"`
+	// Cached are the parts by this and the earlier reports, nil if there is none.
+	Cached *promptcache.Parts `json:"-"`
 }
 
 // StateRequest asks for a state newer than After, and reports the demand that
--- a/internal/agentclient/watcher.go
+++ b/internal/agentclient/watcher.go
@@ -9,6 +9,7 @@
 	"github.com/jacinthbend/jacinthbend/internal/agentapi"
 	"github.com/jacinthbend/jacinthbend/internal/background"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
+	"github.com/jacinthbend/jacinthbend/internal/promptcache"
 	"github.com/jacinthbend/jacinthbend/internal/telemetry"
 	"github.com/jacinthbend/jacinthbend/internal/upstream"
 )
@@ -158,6 +159,10 @@
 			if st.Holdings == nil && st.Incarnation == last.Incarnation && st.StartedAtMS == last.StartedAtMS {
 				st.Holdings = last.Holdings
 			}
+			if st.Cached, err = cachedParts(&last, st); err != nil {
+				w.logger.Warn("report of cached prompt parts ignored", zap.String("upstream", a.UpstreamID), telemetry.Err(err))
+				err = nil
+			}
 			last = *st
 			w.sink.UpdateAgentState(a.UpstreamID, st, time.Now())
 		}
@@ -168,3 +173,16 @@
 		}
 	}
 }
+
+// cachedParts returns the parts that an engine has cached by its agent's state st, which
+// follows last.
+func cachedParts(last, st *agentapi.State) (*promptcache.Parts, error) {
+	cached := last.Cached
+	if st.Incarnation != last.Incarnation {
+		cached = nil
+	}
+	if st.PromptParts == "" {
+		return cached, nil
+	}
+	return cached.Apply(st.PromptParts, time.Now())
+}
--- a/internal/agentrelay/relay.go
+++ b/internal/agentrelay/relay.go
@@ -247,6 +247,7 @@
 	out := &agentState{AgeMS: now.Sub(a.at).Milliseconds(), TimedOut: a.timedOut}
 	if a.state != nil {
 		st := *a.state
+		st.PromptParts = "" // changes to what this instance had
 		if a.holdingsVersion <= after {
 			st.Holdings = nil
 		}
--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -6,9 +6,11 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
+	"github.com/jacinthbend/jacinthbend/internal/promptcache"
 	"github.com/jacinthbend/jacinthbend/internal/slidingwindow"
 	"github.com/jacinthbend/jacinthbend/internal/telemetry"
 )
@@ -41,6 +43,8 @@
 	Name    string
 	Service string
 	Engine  Engine
+	// CacheEvents is nil if the engine's prompt cache is not followed.
+	CacheEvents CacheEventSource
 	// Config returns the current configuration, or nil if none has been received.
 	Config         func() *fleet.Config
 	StoreLoadLimit StoreLoadLimit
@@ -71,11 +75,15 @@
 	// version at which the holdings last changed.
 	incarnation     int64
 	holdingsVersion uint64
-	// changed is closed when version increases.
-	changed  chan struct{}
-	wake     chan struct{}
-	requests loadRequests
-	demand   demand
+	// announcedVersion is the version of the last change that state calls are answered for at
+	// once, and changed is closed then. Changes of promptParts wait for the next answer.
+	announcedVersion uint64
+	changed          chan struct{}
+	promptParts      *promptcache.Tracker
+	metrics          *metrics.Set
+	wake             chan struct{}
+	requests         loadRequests
+	demand           demand
 	// permits counts the requests that may be on their way to the engine, and the orders,
 	// which a cold engine counts like requests.
 	permits     slidingwindow.Counter
@@ -101,7 +109,7 @@
 func New(o Options) *Agent {
 	a := &Agent{
 		Options: o, startedAt: time.Now(), permits: slidingwindow.Counter{Length: permitWindow}, incarnation: time.Now().UnixNano(), changed: make(chan struct{}), wake: make(chan struct{}, 1), requests: make(loadRequests), demand: newDemand(),
-		storeLimiter: storeLoadLimiter{limit: o.StoreLoadLimit},
+		storeLimiter: storeLoadLimiter{limit: o.StoreLoadLimit}, promptParts: promptcache.NewTracker(), metrics: metrics.NewSet(),
 	}
 	if !o.FirstStart {
 		a.storeLimiter.record(time.Now())
@@ -248,6 +256,7 @@
 // holds the lock.
 func (a *Agent) publish() {
 	a.version++
+	a.announcedVersion = a.version
 	close(a.changed)
 	a.changed = make(chan struct{})
 }
--- a/internal/engineagent/engine.go
+++ b/internal/engineagent/engine.go
@@ -17,3 +17,10 @@
 	Identify(ctx context.Context, healthPath string) (string, error)
 	Order(ctx context.Context, o fleet.Order) (fleet.OrderResult, error)
 }
+
+// CacheEventSource is the part of an engine's API by which it tells what it has cached.
+type CacheEventSource interface {
+	// CacheEvents returns the changes after a position, "" for all that the engine retains. It
+	// may wait for some. An error means that no answer came.
+	CacheEvents(ctx context.Context, since string) (fleet.CacheEvents, error)
+}
--- a/internal/engineagent/handlers.go
+++ b/internal/engineagent/handlers.go
@@ -30,7 +30,7 @@
 	a.demand.update(req.From, req.Demand, time.Now())
 	a.storeShare = storeShare{engines: req.Engines, rank: req.Rank}
 	changed := a.changed
-	newer := a.version != req.After || a.incarnation != req.Incarnation
+	newer := a.announcedVersion > req.After || a.version < req.After || a.incarnation != req.Incarnation
 	a.mu.Unlock()
 	if !newer && req.WaitMS > 0 {
 		t := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
@@ -45,14 +45,21 @@
 }
 
 // stateFor returns the state without the holdings if the caller already has
-// them.
+// them, and with the changes of the prompt parts that it does not have.
 func (a *Agent) stateFor(req agentapi.StateRequest) agentapi.State {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	st := a.state(time.Now())
-	if req.Incarnation == a.incarnation && req.After >= a.holdingsVersion {
+	after := req.After
+	if req.Incarnation != a.incarnation {
+		after = 0
+	}
+	if after > 0 && after >= a.holdingsVersion {
 		st.Holdings = nil
 	}
+	if a.reachable {
+		st.PromptParts = a.promptParts.Report(after)
+	}
 	return st
 }
 
--- a/internal/managed/agent.go
+++ b/internal/managed/agent.go
@@ -37,7 +37,7 @@
 	era := newStoreEra()
 	follower := topicwatch.NewFollower(topicwatch.Options{Source: source, Decoder: platform.Decoder{}, Logger: logger, LongOperatorWait: true, OnEra: era.set})
 	agent := engineagent.New(engineagent.Options{
-		Name: s.Instance, Service: s.Service, Engine: engine, Logger: logger, FirstStart: s.FirstStart, OnCaller: topics.NoteCaller,
+		Name: s.Instance, Service: s.Service, Engine: engine, CacheEvents: engine, Logger: logger, FirstStart: s.FirstStart, OnCaller: topics.NoteCaller,
 		Config: func() *fleet.Config {
 			if v := follower.View(); v != nil {
 				return v.Config
@@ -60,6 +60,7 @@
 	records.Register(peers.Engine)
 	set := metrics.NewSet()
 	set.NewGauge("jacinthbend_witness_records", func() float64 { return float64(records.Len()) })
+	agent.RegisterMetrics(set)
 	operators, err := newOperatorServer(s.OperatorAddr(), budget, set, func() (bool, string) { return true, "" })
 	if err != nil {
 		return err
@@ -71,6 +72,7 @@
 			Name: s.Instance, Role: fleet.RoleAgent, DataCentre: s.DataCentre, Addr: s.PeerAddr(), UpstreamAddr: s.UpstreamAddr,
 		}, logger, func(p topicwatch.Position) { agent.SetFence(fence(p)) })
 	})
+	p.run(ctx, "follow prompt cache", agent.FollowCacheEvents)
 	logger.Info("started", zap.String("role", "agent"), zap.String("upstream_addr", s.UpstreamAddr))
 	background.Run(ctx, logger, "agent", agent.Run)
 	logger.Info("stopped")
