Pass cached prompt parts on at relays, and bound their reports by what an instance watches

Readers behind a relay did not get the parts; a relay now keeps an agent's last four reports and tells a reader the difference. Reports come at least engines / 36 s apart, since an instance decodes a state for each, and the byte rate is shared by the at most 64 engines that an instance watches itself.

--- a/internal/agentclient/watcher.go
+++ b/internal/agentclient/watcher.go
@@ -181,8 +181,5 @@
 	if st.Incarnation != last.Incarnation {
 		cached = nil
 	}
-	if st.PromptParts == "" {
-		return cached, nil
-	}
 	return cached.Apply(st.PromptParts, time.Now())
 }
--- a/internal/agentrelay/reader.go
+++ b/internal/agentrelay/reader.go
@@ -267,9 +267,17 @@
 			r.Pool.AgentUnreachable(id, a != nil && a.TimedOut)
 			continue
 		}
-		if last := c.known[id]; a.State.Holdings == nil && last != nil {
+		last := c.known[id]
+		if last == nil {
+			last = &agentapi.State{}
+		}
+		if a.State.Holdings == nil {
 			a.State.Holdings = last.Holdings
 		}
+		var err error
+		if a.State.Cached, err = last.Cached.Apply(a.State.PromptParts, now); err != nil {
+			r.Logger.Warn("report of cached prompt parts ignored", zap.String("upstream", id), zap.String("relay", c.relay), telemetry.Err(err))
+		}
 		c.known[id] = a.State
 		r.Pool.UpdateAgentState(id, a.State, now.Add(-age(a.AgeMS)))
 		r.Pool.ConfirmAgentState(id, confirmed)
--- a/internal/agentrelay/relay.go
+++ b/internal/agentrelay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/jacinthbend/jacinthbend/internal/agentapi"
 	"github.com/jacinthbend/jacinthbend/internal/peer"
+	"github.com/jacinthbend/jacinthbend/internal/promptcache"
 	"github.com/jacinthbend/jacinthbend/internal/upstream"
 )
 
@@ -51,8 +53,20 @@
 	// version and holdingsVersion are the relay's versions at the last change of the
 	// state and of the holdings.
 	version, holdingsVersion uint64
+	// cached has the last reports of what the engine has cached, oldest first.
+	cached []cachedParts
 }
 
+// cachedParts are the prompt parts that an engine has cached as of a version of the relay.
+type cachedParts struct {
+	version uint64
+	parts   *promptcache.Parts
+}
+
+// maxCachedReports is how many reports are kept, to tell callers what changed. An agent makes
+// one in 0.5 to 2.5 s, and a caller calls about once a second.
+const maxCachedReports = 4
+
 // report is what one entry instance requests.
 type report struct {
 	at     time.Time
@@ -113,6 +127,9 @@
 	if old == nil || old.Holdings != st.Holdings {
 		a.holdingsVersion = a.version
 	}
+	if n := len(a.cached); n == 0 || a.cached[n-1].parts != st.Cached {
+		a.cached = append(a.cached[max(0, n+1-maxCachedReports):], cachedParts{a.version, st.Cached})
+	}
 }
 
 // AgentUnreachable records that a watched agent does not answer.
@@ -123,7 +140,7 @@
 	if a.state == nil && a.timedOut == timedOut && a.version > 0 {
 		return
 	}
-	a.state, a.at, a.timedOut = nil, time.Now(), timedOut
+	a.state, a.at, a.timedOut, a.cached = nil, time.Now(), timedOut, nil
 	r.publish(a)
 }
 
@@ -247,7 +264,8 @@
 	out := &agentState{AgeMS: now.Sub(a.at).Milliseconds(), TimedOut: a.timedOut}
 	if a.state != nil {
 		st := *a.state
-		st.PromptParts = "" // changes to what this instance had
+		// What the agent sent are the changes to what this instance had.
+		st.PromptParts = st.Cached.ReportSince(a.cachedAsOf(after))
 		if a.holdingsVersion <= after {
 			st.Holdings = nil
 		}
@@ -256,6 +274,16 @@
 	return out
 }
 
+// cachedAsOf returns the parts that a caller with the version has, nil if that is not known.
+func (a *watchedAgent) cachedAsOf(version uint64) *promptcache.Parts {
+	for _, c := range slices.Backward(a.cached) {
+		if c.version <= version {
+			return c.parts
+		}
+	}
+	return nil
+}
+
 // Requested implements upstream.UsageSource for all callers together.
 func (r *Relay) Requested(name string, now time.Time) float64 {
 	return r.sum(name, now).Requests
--- a/internal/agentrelay/relay_test.go
+++ b/internal/agentrelay/relay_test.go
@@ -1,6 +1,7 @@
 package agentrelay
 
 import (
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 
 	"github.com/jacinthbend/jacinthbend/internal/agentapi"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
+	"github.com/jacinthbend/jacinthbend/internal/promptcache"
 	"github.com/jacinthbend/jacinthbend/internal/upstream"
 )
 
@@ -57,3 +59,55 @@
 	report(8, 1, "m", now.Add(time.Second)) // after the agent restarted
 	check.True(holds("m"))
 }
+
+// TestCachedParts guards against a reader whose list of an engine's cached prompt parts is not
+// that of the relay: after changes that it missed, after the agent was out, and at another
+// relay.
+func TestCachedParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		f := newTestFleet()
+		relay, reader := f.nodes["entry-0-00"].relay, f.nodes["entry-0-01"].reader
+		tracker, st, version := promptcache.NewTracker(), f.state("i-042"), uint64(0)
+		publish := func(id string) {
+			version++
+			tracker.Apply(fleet.CacheEvent{ID: id, Name: "m", Tokens: 500})
+			time.Sleep(time.Second)
+			tracker.Publish(version, 1, time.Now())
+			next := *st
+			next.Version++
+			var err error
+			next.Cached, err = st.Cached.Apply(tracker.Report(version-1), time.Now())
+			check.NoErr(err)
+			st = &next
+			relay.UpdateAgentState("i-042", st, time.Now())
+		}
+		c := cursor{known: make(map[string]*agentapi.State)}
+		read := func() int {
+			req := statesRequest{Slices: 1, Incarnation: c.incarnation, After: c.version}
+			data, err := json.Marshal(relay.serve(t.Context(), req))
+			check.NoErr(err)
+			var resp statesResponse
+			check.NoErr(json.Unmarshal(data, &resp))
+			reader.apply(&c, resp)
+			if known := c.known["i-042"]; known != nil {
+				return known.Cached.Len()
+			}
+			return 0
+		}
+		publish("a")
+		check.Equal(read(), 1)
+		publish("b")
+		check.Equal(read(), 2)
+		for _, id := range []string{"c", "d", "e", "f", "g"} {
+			publish(id)
+		}
+		check.Equal(read(), 7) // more changes than the relay remembers
+		relay.AgentUnreachable("i-042", false)
+		check.Equal(read(), 0)
+		publish("h")
+		check.Equal(read(), 8)
+		c.selectRelay("another")
+		check.Equal(read(), 8)
+	})
+}
--- a/internal/managed/managed_test.go
+++ b/internal/managed/managed_test.go
@@ -46,6 +46,7 @@
 	t      *testing.T
 	store  *platformtest.Store
 	engine *platformtest.Engine
+	cache  *platformtest.PromptCache
 	// engineAddr is the engine's address.
 	engineAddr string
 	basePort   int
@@ -54,9 +55,9 @@
 }
 
 func newTestCluster(t *testing.T) *testCluster {
-	c := &testCluster{t: t, store: platformtest.NewStore(), basePort: freePorts(t, 6), exits: make(chan error, 2)}
+	c := &testCluster{t: t, store: platformtest.NewStore(), basePort: freePorts(t, 6), exits: make(chan error, 2), cache: &platformtest.PromptCache{Tokens: 2000, Retained: 64, Calls: 1}}
 	c.engine = platformtest.NewEngine(platformtest.EngineOptions{
-		ID: "i-1", StartMS: 1, WeightsMB: 100, ModelMB: 60, MaxAdapters: 4, OnDisk: []string{"m1", "m2"}, Events: 3, WorkTime: 150,
+		ID: "i-1", StartMS: 1, WeightsMB: 100, ModelMB: 60, MaxAdapters: 4, OnDisk: []string{"m1", "m2"}, Events: 3, WorkTime: 150, Cache: c.cache,
 	}, "m1")
 	storeAddr := startFakeServer(t, c.store)
 	c.engineAddr = startFakeServer(t, c.engine)
--- a/internal/promptcache/parts.go
+++ b/internal/promptcache/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -17,9 +18,12 @@
 	since time.Time
 }
 
-// Apply returns the parts after a report that arrives now, which is a full list or the changes
-// to p. With a wrong report, it returns no parts.
+// Apply returns the parts after a report that arrives now, which is a full list, the changes to
+// p, or empty. With a wrong report, it returns no parts.
 func (p *Parts) Apply(report string, now time.Time) (*Parts, error) {
+	if report == "" {
+		return p, nil
+	}
 	full, floor, entries, err := decodeReport(report)
 	if err != nil {
 		return nil, err
@@ -87,3 +91,35 @@
 func (p *Parts) Lists(tokens int, sentAt time.Time) bool {
 	return p != nil && tokens >= MinTokens && sizeOf(tokens) > p.floor && sentAt.After(p.since)
 }
+
+// ReportSince returns the report for a caller that has old, which may be nil.
+func (p *Parts) ReportSince(old *Parts) string {
+	switch {
+	case p == old:
+		return ""
+	case p == nil:
+		return encodeReport(true, math.MaxUint8, nil)
+	}
+	full := old == nil || !old.since.Equal(p.since)
+	if full {
+		old = &Parts{}
+	}
+	var entries []entry
+	i := 0
+	for j, h := range p.hashes {
+		for ; i < len(old.hashes) && old.hashes[i] < h; i++ {
+			entries = append(entries, entry{hash: old.hashes[i]})
+		}
+		if i < len(old.hashes) && old.hashes[i] == h {
+			i++
+			if old.sizes[i-1] == p.sizes[j] {
+				continue
+			}
+		}
+		entries = append(entries, entry{hash: h, size: p.sizes[j]})
+	}
+	for ; i < len(old.hashes); i++ {
+		entries = append(entries, entry{hash: old.hashes[i]})
+	}
+	return encodeReport(full, p.floor, entries)
+}
--- a/internal/promptcache/tracker.go
+++ b/internal/promptcache/tracker.go
@@ -19,20 +19,33 @@
 	// maxPartsOfFleet bounds the reported parts of all engines together, which each entry
 	// instance keeps: 65,536 parts of 9 bytes.
 	maxPartsOfFleet = 1 << 16
-	// fleetBytes is how many bytes of reports an entry instance gets a second from all engines
-	// together. The bound is 2 KB/s, since traffic between data centres is charged for.
-	fleetBytes = 1800.0
+	// fleetBytes is how many bytes of reports an entry instance gets a second from all agents
+	// that it watches. The bound is 2 KB/s, since traffic between data centres is charged for.
+	// It watches at most watchedEngines; the states of more agents are passed on by relays
+	// within the data centre.
+	fleetBytes     = 1800.0
+	watchedEngines = 64
 	// maxEngineBytes is the rate of one engine where there are few.
 	maxEngineBytes = 400.0
 	// burstTime is for how long an unused rate is saved.
 	burstTime = 10 * time.Second
-	// baseInterval is the time between two reports with up to enginesAtBase engines; the
-	// polls of entry instances slow down beyond that number too, up to maxIntervalFactor.
-	baseInterval      = 500 * time.Millisecond
-	enginesAtBase     = 18
-	maxIntervalFactor = 5
+	// minInterval is the time between two reports, and fleetReports how many an entry instance
+	// gets a second from all engines together, since it decodes a state for each.
+	minInterval  = 500 * time.Millisecond
+	fleetReports = 36
+	// eventLag is the time from an event to the report, and from the report to the instances,
+	// without the interval between the reports: up to 1 s for each, and for late events.
+	eventLag = 3 * time.Second
 )
 
+// interval returns the time between two reports with this many engines.
+func interval(engines int) time.Duration {
+	return max(minInterval, time.Duration(engines)*time.Second/fleetReports)
+}
+
+// Lag returns how long after a prompt was read its parts may be missing from the reports.
+func Lag(engines int) time.Duration { return eventLag + 2*interval(engines) }
+
 // Tracker keeps what one engine has cached, by its events, and decides which of it is
 // reported. It is not safe for concurrent use.
 //
@@ -133,17 +146,10 @@
 // Publish adds changes to the list as of version, and reports whether there are any; engines
 // is the number of engines whose reports an entry instance gets.
 func (t *Tracker) Publish(version uint64, engines int, now time.Time) bool {
-	factor := min(maxIntervalFactor, max(1, float64(engines)/enginesAtBase))
-	if now.Sub(t.reportAt) < time.Duration(factor*float64(baseInterval)) {
+	if now.Sub(t.reportAt) < interval(engines) {
 		return false
 	}
-	rate := min(maxEngineBytes, fleetBytes/float64(max(1, engines)))
-	if t.budgetAt.IsZero() {
-		t.budget = rate * burstTime.Seconds()
-	} else {
-		t.budget = min(rate*max(burstTime.Seconds(), float64(reportText+entryText)/rate), t.budget+rate*now.Sub(t.budgetAt).Seconds())
-	}
-	t.budgetAt = now
+	t.addBudget(engines, now)
 	limit := min(MaxParts, max(1, maxPartsOfFleet/max(1, engines)))
 	n, floor, budget := 0, size(0), t.budget-float64(reportText)
 	for _, c := range t.pending() {
@@ -165,6 +171,18 @@
 	return true
 }
 
+// addBudget adds the bytes that may be reported since the last call.
+func (t *Tracker) addBudget(engines int, now time.Time) {
+	rate := min(maxEngineBytes, fleetBytes/float64(min(watchedEngines, max(1, engines))))
+	saved := rate * max(burstTime, interval(engines)).Seconds()
+	if t.budgetAt.IsZero() {
+		t.budget = saved
+	} else {
+		t.budget = min(saved, t.budget+rate*now.Sub(t.budgetAt).Seconds())
+	}
+	t.budgetAt = now
+}
+
 // pending returns the parts whose change is to be reported, the largest change first, and
 // removals before additions of the same size, since they make room.
 func (t *Tracker) pending() []change {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 
 	"github.com/jacinthbend/jacinthbend/internal/agentapi"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
+	"github.com/jacinthbend/jacinthbend/internal/promptcache"
 	"github.com/jacinthbend/jacinthbend/internal/speed"
 	"github.com/jacinthbend/jacinthbend/internal/spill"
 )
@@ -78,6 +79,8 @@
 	prompts     promptMetrics
 	// cacheReports tells that an engine has reported which prompt parts it has cached.
 	cacheReports bool
+	// reportLag is how long after a prompt was sent its parts may be missing from the reports.
+	reportLag time.Duration
 	// fleetDemand, if set, is the demand of several instances.
 	fleetDemand FleetDemand
 	// busy has the running requests of the services whose number of servers is decided here.
@@ -147,6 +150,7 @@
 			p.newestByAddr[u.Addr] = id
 		}
 	}
+	p.reportLag = promptcache.Lag(len(v.Upstreams))
 	p.dropOldAnswers()
 	p.matchAgents(v)
 }
--- a/internal/upstream/prefix_cache.go
+++ b/internal/upstream/prefix_cache.go
@@ -15,11 +15,6 @@
 // tokens.
 const prefixesPerUpstream = 256
 
-// reportLag is how long after a prompt was sent its parts may be missing from the report of
-// what the engine has cached: the call for events (1 s), the interval of the reports (0.5 to
-// 2.5 s) and of the polls (0.5 to 1.3 s).
-const reportLag = 5 * time.Second
-
 // prefixCache remembers the prompt prefixes that this instance sent to one
 // upstream, and when. The upstream keeps a part in its cache only together with
 // all parts before it.
@@ -66,11 +61,12 @@
 }
 
 // cachedTokens returns the number of tokens in the longest prefix of the prompt that the
-// engine has, by what this instance sent and by the engine's report, which may be nil.
-func (c *prefixCache) cachedTokens(h promptHashes, prompt []fleet.PromptPart, report *promptcache.Parts, now time.Time) int {
+// engine has, by what this instance sent and by the engine's report, which may be nil. What
+// was sent after recent may be missing from the report.
+func (c *prefixCache) cachedTokens(h promptHashes, prompt []fleet.PromptPart, report *promptcache.Parts, recent time.Time) int {
 	tokens := 0
 	for i, p := range prompt[:len(h.prefixes)] {
-		if sentAt, ok := c.seen.Peek(h.prefixes[i]); ok && (report == nil || now.Sub(sentAt) < reportLag || !report.Lists(p.Tokens, sentAt)) {
+		if sentAt, ok := c.seen.Peek(h.prefixes[i]); ok && (report == nil || sentAt.After(recent) || !report.Lists(p.Tokens, sentAt)) {
 			tokens += p.Tokens
 			continue
 		}
--- a/internal/upstream/prompt_metrics.go
+++ b/internal/upstream/prompt_metrics.go
@@ -21,7 +21,7 @@
 // countPrompt counts the tokens of an attempt, before its prompt is remembered.
 func (p *Pool) countPrompt(s *state, q *Query, h promptHashes, now time.Time) {
 	own := s.prefixes.cachedTokens(promptHashes{prefixes: h.prefixes}, q.Prompt, nil, now)
-	cached := s.prefixes.cachedTokens(h, q.Prompt, s.cachedParts(now), now)
+	cached := s.prefixes.cachedTokens(h, q.Prompt, s.cachedParts(now), now.Add(-p.reportLag))
 	p.prompts.sentHere.Add(min(own, cached))
 	p.prompts.reported.Add(max(0, cached-own))
 	p.prompts.uncached.Add(max(0, q.TokensIn-cached))
--- a/internal/upstream/sim_engine_test.go
+++ b/internal/upstream/sim_engine_test.go
@@ -36,6 +36,10 @@
 	kept []string
 	// events are the changes of kept that were not reported yet.
 	events []fleet.CacheEvent
+	// reread are the tokens of parts read that some engine has read before, which onceRead has
+	// if it is not nil.
+	reread   int
+	onceRead *sync.Map
 }
 
 const (
@@ -135,6 +139,11 @@
 		}
 		r.left += p.Tokens
 		e.kept = append(e.kept, prefix)
+		if e.onceRead != nil {
+			if _, again := e.onceRead.LoadOrStore(prefix, true); again {
+				e.reread += p.Tokens
+			}
+		}
 		e.events = append(e.events, fleet.CacheEvent{ID: p.ID, Name: r.model, Tokens: simLargestPart})
 	}
 	for len(e.kept) > simKept {
