Begin the list of cached parts anew after it was discarded, and hash parts faster

After Reset the first report was sent as changes, so that prompts sent since Reset seemed evicted. It is a full list now, with a time of its own; TestReports fails without that. The hash of a part combines the hashes of name and id, and a prompt's hashes share one allocation.

--- a/internal/promptcache/tracker.go
+++ b/internal/promptcache/tracker.go
@@ -60,8 +60,10 @@
 	// that is cached and not listed.
 	listed int
 	floor  size
-	// completeSince is the version from which on changes are known.
+	// completeSince is the version from which on changes are known, and restarted tells that the
+	// next report begins a list.
 	completeSince uint64
+	restarted     bool
 	changedAt     uint64
 	sequence      uint64
 
@@ -92,7 +94,7 @@
 // which is empty and says of no part that it would be listed.
 func (t *Tracker) Reset(version uint64) {
 	t.parts, t.gone, t.listed, t.floor = make(map[uint64]*part), nil, 0, math.MaxUint8
-	t.completeSince, t.changedAt = version, version
+	t.completeSince, t.changedAt, t.restarted = version, version, true
 }
 
 // Apply takes in an event.
@@ -168,6 +170,10 @@
 		return false
 	}
 	t.floor, t.budget, t.reportAt, t.changedAt = floor, budget, now, version
+	if t.restarted {
+		// What was sent since Reset may be cached without being listed.
+		t.completeSince, t.restarted = version, false
+	}
 	return true
 }
 
--- a/internal/upstream/prefix_cache.go
+++ b/internal/upstream/prefix_cache.go
@@ -38,26 +38,29 @@
 
 // hashPrompt returns the hashes of q's prompt.
 func (p *Pool) hashPrompt(q *Query) promptHashes {
-	name := q.Name()
-	out := promptHashes{prefixes: prefixHashes(name, q.Prompt)}
-	if p.cacheReports {
-		out.parts = make([]uint64, len(q.Prompt))
-		for i, part := range q.Prompt {
-			out.parts[i] = promptcache.Hash(name, part.ID)
-		}
+	name, n := q.Name(), len(q.Prompt)
+	d := xxhash.New()
+	_, _ = d.WriteString(name)
+	if !p.cacheReports {
+		out := promptHashes{prefixes: make([]uint64, n)}
+		out.addPrefixes(d, q.Prompt)
+		return out
+	}
+	both := make([]uint64, 2*n)
+	out := promptHashes{prefixes: both[:n], parts: both[n:]}
+	out.addPrefixes(d, q.Prompt)
+	nameHash := promptcache.HashName(name)
+	for i, part := range q.Prompt {
+		out.parts[i] = nameHash.Part(part.ID)
 	}
 	return out
 }
 
-func prefixHashes(name string, parts []fleet.PromptPart) []uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(name)
-	out := make([]uint64, len(parts))
+func (h *promptHashes) addPrefixes(d *xxhash.Digest, parts []fleet.PromptPart) {
 	for i, p := range parts {
 		_, _ = d.WriteString("|" + p.ID)
-		out[i] = d.Sum64()
+		h.prefixes[i] = d.Sum64()
 	}
-	return out
 }
 
 // cachedTokens returns the number of tokens in the longest prefix of the prompt that the
