Tell agents how many of them an instance watches

The rate of the reports was shared by the engines of one service, so an instance with engines of two services could get twice the bound. State calls now carry the number of agents that the instance watches, when it changes.

--- a/internal/agentapi/state.go
+++ b/internal/agentapi/state.go
@@ -74,6 +74,9 @@
 	// position of this engine among them, starting from 0.
 	Engines int `json:"engines"`
 	Rank    int `json:"rank"`
+	// Watched is the number of agents of all services whose states the entry instance polls. It
+	// is 0 if it has not changed since the last call.
+	Watched int `json:"watched,omitempty"`
 	// Demand omits models and adapters with almost no demand.
 	Demand []Demand `json:"demand,omitempty"`
 }
--- a/internal/agentclient/watcher.go
+++ b/internal/agentclient/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -56,6 +57,8 @@
 	logger     *zap.Logger
 
 	watches map[upstream.Agent]context.CancelFunc
+	// watched is the number of watches.
+	watched atomic.Int64
 }
 
 // Plan tells which agents an instance watches.
@@ -113,6 +116,7 @@
 			delete(w.watches, a)
 		}
 	}
+	w.watched.Store(int64(len(w.watches)))
 }
 
 // pollSlowdown returns the factor by which intervals grow with the number of
@@ -123,7 +127,7 @@
 
 func (w *Watcher) watch(ctx context.Context, a upstream.Agent) {
 	var last agentapi.State
-	unreachable := false
+	unreachable, sentWatched := false, 0
 	for ctx.Err() == nil {
 		start := time.Now()
 		engines, rank := w.engineRank(a.UpstreamID)
@@ -132,10 +136,14 @@
 		if w.plan.Divided() {
 			factor, addr = pollSlowdown(engines, maxRelaySlowdown), w.self.Addr
 		}
+		watched := int(w.watched.Load())
+		if watched == sentWatched && last.Version > 0 {
+			watched = 0
+		}
 		wait := time.Duration(factor * float64(longPollWait))
 		st, err := w.client.state(ctx, a.Addr, agentapi.StateRequest{
 			From: w.self.Name, FromAddr: addr, FromDataCentre: w.self.DataCentre, Incarnation: last.Incarnation, After: last.Version, WaitMS: int(wait.Milliseconds()),
-			Engines: engines, Rank: rank, Demand: w.sink.Demand(a.UpstreamID),
+			Engines: engines, Rank: rank, Watched: watched, Demand: w.sink.Demand(a.UpstreamID),
 		})
 		if ctx.Err() != nil {
 			return
@@ -164,6 +172,9 @@
 				err = nil
 			}
 			last = *st
+			if watched > 0 {
+				sentWatched = watched
+			}
 			w.sink.UpdateAgentState(a.UpstreamID, st, time.Now())
 		}
 		unreachable = err != nil
--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -80,6 +80,8 @@
 	announcedVersion uint64
 	changed          chan struct{}
 	promptParts      *promptcache.Tracker
+	// watched is the number of agents that an entry instance watches.
+	watched int
 	metrics          *metrics.Set
 	wake             chan struct{}
 	requests         loadRequests
--- a/internal/engineagent/handlers.go
+++ b/internal/engineagent/handlers.go
@@ -29,6 +29,9 @@
 	a.mu.Lock()
 	a.demand.update(req.From, req.Demand, time.Now())
 	a.storeShare = storeShare{engines: req.Engines, rank: req.Rank}
+	if req.Watched > 0 {
+		a.watched = req.Watched
+	}
 	changed := a.changed
 	newer := a.announcedVersion > req.After || a.version < req.After || a.incarnation != req.Incarnation
 	a.mu.Unlock()
--- a/internal/engineagent/prompt_cache.go
+++ b/internal/engineagent/prompt_cache.go
@@ -119,7 +119,7 @@
 	for _, e := range events {
 		a.promptParts.Apply(e)
 	}
-	if a.promptParts.Publish(a.version+1, a.storeShare.engines, time.Now()) {
+	if a.promptParts.Publish(a.version+1, max(a.storeShare.engines, a.watched), time.Now()) {
 		a.version++
 	}
 }
