Report cached parts also while the engine does not respond

A caller that got a state without an engine asked next for changes after its version, and never got those of the parts that were made before it. The state now always has them. TestFollowCacheEvents covers the case and failed before the change (x instead of xy).

go test -race ./internal/engineagent -run FollowCache passes.

--- a/internal/agentapi/state.go
+++ b/internal/agentapi/state.go
@@ -20,7 +20,7 @@
 	Incarnation int64  `json:"incarnation"`
 	Version     uint64 `json:"version"`
 	// Reachable is set if the engine responds. If it is not, the fields below are
-	// empty.
+	// empty, except PromptParts: a caller asks only for what changes after Version.
 	Reachable bool `json:"known"`
 	// StartedAtMS is when the engine started, in Unix milliseconds. It distinguishes
 	// restarts.
--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -81,11 +81,11 @@
 	changed          chan struct{}
 	promptParts      *promptcache.Tracker
 	// watched is the number of agents that an entry instance watches.
-	watched int
-	metrics          *metrics.Set
-	wake             chan struct{}
-	requests         loadRequests
-	demand           demand
+	watched  int
+	metrics  *metrics.Set
+	wake     chan struct{}
+	requests loadRequests
+	demand   demand
 	// permits counts the requests that may be on their way to the engine, and the orders,
 	// which a cold engine counts like requests.
 	permits     slidingwindow.Counter
--- a/internal/engineagent/handlers.go
+++ b/internal/engineagent/handlers.go
@@ -60,9 +60,7 @@
 	if after > 0 && after >= a.holdingsVersion {
 		st.Holdings = nil
 	}
-	if a.reachable {
-		st.PromptParts = a.promptParts.Report(after)
-	}
+	st.PromptParts = a.promptParts.Report(after)
 	return st
 }
 
--- a/internal/engineagent/prompt_cache_test.go
+++ b/internal/engineagent/prompt_cache_test.go
@@ -50,7 +50,8 @@
 
 // TestFollowCacheEvents guards against a list that is reported although the engine was
 // restarted, events were lost or no answers come, against many calls to an engine that does
-// not answer them, and against state calls that end for each change of the list.
+// not answer them, against state calls that end for each change of the list, and against
+// changes that a caller never gets since the engine did not respond meanwhile.
 func TestFollowCacheEvents(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		check := is.New(t)
@@ -88,7 +89,10 @@
 		start := time.Now()
 		check.Equal(poll(), "x")
 		check.Equal(time.Since(start), 400*time.Millisecond) // a change of the list ends no call
-		check.Equal(wait(2*time.Second), "xy")
+		time.Sleep(2 * time.Second)
+		a.markUnreachable(errors.New("down"))
+		check.Equal(poll(), "xy") // the next call asks for what changed after this version
+		a.applyReport(newFakeEngine("a").report)
 		source.set(fleet.CacheEvents{Epoch: "1", Next: "9", Lost: true, Events: event("z")}, nil)
 		check.Equal(wait(2*time.Second), "z")
 		source.set(fleet.CacheEvents{Epoch: "2", Next: "1", Events: event("x")}, nil)
