--- a/bench/replay/world.go
+++ b/bench/replay/world.go
@@ -169,7 +169,12 @@
 	for ctx.Err() == nil {
 		sleep(ctx, storeLoadInterval)
 		for _, load := range pool.StoreLoads() {
-			_, _ = w.agents[load.AgentAddr].ServeEnsure(ctx, agentapi.EnsureRequest{Model: load.Model, Background: true, ExpectedDemand: load.Demand})
+			for _, agent := range load.Agents {
+				req := agentapi.EnsureRequest{Model: load.Model, Background: true, FromStore: true, ExpectedDemand: load.Demand}
+				if resp, err := w.agents[agent].ServeEnsure(ctx, req); err == nil && resp.Reason == "" {
+					break
+				}
+			}
 		}
 	}
 }
--- a/internal/agentapi/state.go
+++ b/internal/agentapi/state.go
@@ -1,7 +1,10 @@
 // Package agentapi defines the messages between entry instances and agents.
 package agentapi
 
-import "github.com/jacinthbend/jacinthbend/internal/fleet"
+import (
+	"github.com/jacinthbend/jacinthbend/internal/fleet"
+	"github.com/jacinthbend/jacinthbend/internal/promptcache"
+)
 
 // Paths of the calls that an agent serves.
 const (
@@ -17,7 +20,7 @@
 	Incarnation int64  `json:"incarnation"`
 	Version     uint64 `json:"version"`
 	// Reachable is set if the engine responds. If it is not, the fields below are
-	// empty.
+	// empty, except PromptParts: a caller asks only for what changes after Version.
 	Reachable bool `json:"known"`
 	// StartedAtMS is when the engine started, in Unix milliseconds. It distinguishes
 	// restarts.
@@ -45,6 +48,11 @@
 	// RateLimit is how many requests a second the engine takes from all entry instances
 	// together; 0 is no limit.
 	RateLimit float64 `json:"rate_limit,omitempty"`
+	// PromptParts is what the caller does not have yet of the report of the prompt parts that
+	// the engine has cached; empty if that is nothing, or the engine does not tell.
+	PromptParts string `json:"prompt_parts,omitempty"`
+	// Cached are the parts by this and the earlier reports, nil if there is none.
+	Cached *promptcache.Parts `json:"-"`
 }
 
 // StateRequest asks for a state newer than After, and reports the demand that
@@ -66,6 +74,9 @@
 	// position of this engine among them, starting from 0.
 	Engines int `json:"engines"`
 	Rank    int `json:"rank"`
+	// Watched is the number of agents of all services whose states the entry instance polls. It
+	// is 0 if it has not changed since the last call.
+	Watched int `json:"watched,omitempty"`
 	// Demand omits models and adapters with almost no demand.
 	Demand []Demand `json:"demand,omitempty"`
 }
--- a/internal/agentclient/watcher.go
+++ b/internal/agentclient/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,6 +10,7 @@
 	"github.com/jacinthbend/jacinthbend/internal/agentapi"
 	"github.com/jacinthbend/jacinthbend/internal/background"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
+	"github.com/jacinthbend/jacinthbend/internal/promptcache"
 	"github.com/jacinthbend/jacinthbend/internal/telemetry"
 	"github.com/jacinthbend/jacinthbend/internal/upstream"
 )
@@ -55,6 +57,8 @@
 	logger     *zap.Logger
 
 	watches map[upstream.Agent]context.CancelFunc
+	// watched is the number of watches.
+	watched atomic.Int64
 }
 
 // Plan tells which agents an instance watches.
@@ -112,6 +116,7 @@
 			delete(w.watches, a)
 		}
 	}
+	w.watched.Store(int64(len(w.watches)))
 }
 
 // pollSlowdown returns the factor by which intervals grow with the number of
@@ -122,7 +127,7 @@
 
 func (w *Watcher) watch(ctx context.Context, a upstream.Agent) {
 	var last agentapi.State
-	unreachable := false
+	unreachable, sentWatched := false, 0
 	for ctx.Err() == nil {
 		start := time.Now()
 		engines, rank := w.engineRank(a.UpstreamID)
@@ -131,10 +136,14 @@
 		if w.plan.Divided() {
 			factor, addr = pollSlowdown(engines, maxRelaySlowdown), w.self.Addr
 		}
+		watched := int(w.watched.Load())
+		if watched == sentWatched && last.Version > 0 {
+			watched = 0
+		}
 		wait := time.Duration(factor * float64(longPollWait))
 		st, err := w.client.state(ctx, a.Addr, agentapi.StateRequest{
 			From: w.self.Name, FromAddr: addr, FromDataCentre: w.self.DataCentre, Incarnation: last.Incarnation, After: last.Version, WaitMS: int(wait.Milliseconds()),
-			Engines: engines, Rank: rank, Demand: w.sink.Demand(a.UpstreamID),
+			Engines: engines, Rank: rank, Watched: watched, Demand: w.sink.Demand(a.UpstreamID),
 		})
 		if ctx.Err() != nil {
 			return
@@ -158,7 +167,14 @@
 			if st.Holdings == nil && st.Incarnation == last.Incarnation && st.StartedAtMS == last.StartedAtMS {
 				st.Holdings = last.Holdings
 			}
+			if st.Cached, err = cachedParts(&last, st); err != nil {
+				w.logger.Warn("report of cached prompt parts ignored", zap.String("upstream", a.UpstreamID), telemetry.Err(err))
+				err = nil
+			}
 			last = *st
+			if watched > 0 {
+				sentWatched = watched
+			}
 			w.sink.UpdateAgentState(a.UpstreamID, st, time.Now())
 		}
 		unreachable = err != nil
@@ -168,3 +184,13 @@
 		}
 	}
 }
+
+// cachedParts returns the parts that an engine has cached by its agent's state st, which
+// follows last.
+func cachedParts(last, st *agentapi.State) (*promptcache.Parts, error) {
+	cached := last.Cached
+	if st.Incarnation != last.Incarnation {
+		cached = nil
+	}
+	return cached.Apply(st.PromptParts, time.Now())
+}
--- a/internal/upstream/prefix_cache.go
+++ b/internal/upstream/prefix_cache.go
@@ -1,10 +1,13 @@
 package upstream
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
+	"github.com/jacinthbend/jacinthbend/internal/promptcache"
 )
 
 // prefixesPerUpstream bounds the remembered prefixes of one upstream. It
@@ -13,14 +16,14 @@
 const prefixesPerUpstream = 256
 
 // prefixCache remembers the prompt prefixes that this instance sent to one
-// upstream. The upstream keeps a part in its cache only together with all parts
-// before it.
+// upstream, and when. The upstream keeps a part in its cache only together with
+// all parts before it.
 type prefixCache struct {
-	seen *lru.Cache[uint64, struct{}]
+	seen *lru.Cache[uint64, time.Time]
 }
 
 func newPrefixCache() prefixCache {
-	c, err := lru.New[uint64, struct{}](prefixesPerUpstream)
+	c, err := lru.New[uint64, time.Time](prefixesPerUpstream)
 	if err != nil {
 		// New only fails if the size is not positive.
 		panic(err.Error())
@@ -28,34 +31,63 @@
 	return prefixCache{seen: c}
 }
 
-// prefixHashes returns a hash of each prefix of a prompt: element i covers the
-// parts up to and including part i.
-func prefixHashes(name string, parts []fleet.PromptPart) []uint64 {
+// promptHashes are the hashes of a prompt: element i of prefixes covers the parts up to and
+// including part i, element i of parts that part alone. parts is empty while no engine
+// reports what it has cached.
+type promptHashes struct{ prefixes, parts []uint64 }
+
+// hashPrompt returns the hashes of q's prompt.
+func (p *Pool) hashPrompt(q *Query) promptHashes {
+	name, n := q.Name(), len(q.Prompt)
 	d := xxhash.New()
 	_, _ = d.WriteString(name)
-	out := make([]uint64, len(parts))
+	if !p.cacheReports {
+		out := promptHashes{prefixes: make([]uint64, n)}
+		out.addPrefixes(d, q.Prompt)
+		return out
+	}
+	both := make([]uint64, 2*n)
+	out := promptHashes{prefixes: both[:n], parts: both[n:]}
+	out.addPrefixes(d, q.Prompt)
+	nameHash := promptcache.HashName(name)
+	for i, part := range q.Prompt {
+		out.parts[i] = nameHash.Part(part.ID)
+	}
+	return out
+}
+
+func (h *promptHashes) addPrefixes(d *xxhash.Digest, parts []fleet.PromptPart) {
 	for i, p := range parts {
 		_, _ = d.WriteString("|" + p.ID)
-		out[i] = d.Sum64()
+		h.prefixes[i] = d.Sum64()
 	}
-	return out
 }
 
-// cachedTokens returns the number of tokens in the longest remembered prefix.
-func (c *prefixCache) cachedTokens(hashes []uint64, parts []fleet.PromptPart) int {
+// cachedTokens returns the number of tokens in the longest prefix of the prompt that the
+// engine has, by what this instance sent and by the engine's report, which may be nil. What
+// was sent after recent may be missing from the report.
+func (c *prefixCache) cachedTokens(h promptHashes, prompt []fleet.PromptPart, report *promptcache.Parts, recent time.Time) int {
 	tokens := 0
-	for i, h := range hashes {
-		if !c.seen.Contains(h) {
+	for i, p := range prompt[:len(h.prefixes)] {
+		if sentAt, ok := c.seen.Peek(h.prefixes[i]); ok && (report == nil || sentAt.After(recent) || !report.Lists(p.Tokens, sentAt)) {
+			tokens += p.Tokens
+			continue
+		}
+		if report == nil || len(h.parts) == 0 {
+			break
+		}
+		cached, whole := report.Tokens(h.parts[i], p.Tokens)
+		tokens += cached
+		if !whole && p.Tokens >= promptcache.MinTokens {
 			break
 		}
-		tokens += parts[i].Tokens
 	}
 	return tokens
 }
 
-func (c *prefixCache) add(hashes []uint64) {
-	for _, h := range hashes {
-		c.seen.Add(h, struct{}{})
+func (c *prefixCache) add(prefixes []uint64, now time.Time) {
+	for _, h := range prefixes {
+		c.seen.Add(h, now)
 	}
 }
 
