--- a/internal/managed/store_loads.go
+++ b/internal/managed/store_loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -43,7 +44,9 @@
 			e.logger.Debug("agent did not answer the load request", zap.String("model", load.Model), telemetry.Err(err))
 		case resp.Reason != "":
 			declined[resp.Reason]++
+			e.metrics.GetOrCreateCounter(fmt.Sprintf("jacinthbend_store_loads_declined_total{reason=%q}", resp.Reason)).Inc()
 		default:
+			e.metrics.GetOrCreateCounter("jacinthbend_store_loads_begun_total").Inc()
 			e.logger.Info("requested load from the weight store", zap.String("model", load.Model), zap.String("agent", agent),
 				zap.Float64("worth", load.Demand), zap.Int("declined", i))
 			return
