Let a response wait for memory instead of failing a request that has run

Cause: a response that found the buffer budget in use failed its request with 502 at once, although the upstream had run it; in TestBufferBudget the memory of the previous response is released a moment after its caller has read it. Change: the response waits in order of arrival, until 40 ms before the deadline, or until its upstream or stream counts as silent. A known length is reserved as a whole before the body is read, so such a response holds nothing while it waits. Of those of unknown length, the oldest can always grow to 8 MiB, so that they cannot wait for each other in a circle. Responses up to 64 KiB end the latest wait of a larger one that holds memory. An announced length above 8 MiB fails before the body is read. The buffer of events is counted before it grows, no longer afterwards. A stored error response above 64 KiB is dropped when the next attempt has to wait.

--- a/internal/clientbudget/share.go
+++ b/internal/clientbudget/share.go
@@ -14,6 +14,8 @@
 type total struct {
 	mu          sync.Mutex
 	limit, used int64
+	// waiters are the responses that wait for bytes, in the order of their arrival.
+	waiters []*responseWaiter
 }
 
 // Share bounds the bytes held for one purpose, in capacity of the buffers. It is part of a total for all
@@ -22,6 +24,9 @@
 	total *total
 	// used and large count the bytes, and those beyond SmallBytes of a request.
 	limit, used, largeLimit, large int64
+	// growing are the responses beyond SmallBytes that may need more, in the order in which they
+	// exceeded it.
+	growing []*Response
 }
 
 // NewShare returns a share of limit bytes that is the only one.
@@ -39,10 +44,18 @@
 	if to > from && s.missing(from, to) > 0 {
 		return false
 	}
+	s.change(from, to)
+	if to < from {
+		s.total.grant()
+	}
+	return true
+}
+
+// change counts what one request or response holds, without a check.
+func (s *Share) change(from, to int64) {
 	s.used += to - from
 	s.large += beyondSmall(to) - beyondSmall(from)
 	s.total.used += to - from
-	return true
 }
 
 // Missing returns how many bytes must become free for Resize.
--- a/internal/eventstream/splitter.go
+++ b/internal/eventstream/splitter.go
@@ -12,6 +12,9 @@
 // maxEventBytes bounds one event. Events of model engines have a few hundred bytes.
 const maxEventBytes = 256 << 10
 
+// minBufferBytes holds several events of ordinary size.
+const minBufferBytes = 512
+
 // Splitter buffers bytes of a stream and returns complete events. The zero value is
 // ready to use.
 type Splitter struct {
@@ -28,7 +31,11 @@
 // Add appends bytes of the stream and returns the events that are complete now. The
 // result is valid until the next call.
 func (s *Splitter) Add(p []byte) ([]byte, error) {
-	s.buf = append(s.buf[:0], s.buf[s.emitted:]...)
+	rest := s.buf[s.emitted:]
+	if n := s.CapacityFor(len(p)); n > cap(s.buf) {
+		s.buf = make([]byte, 0, n)
+	}
+	s.buf = append(s.buf[:0], rest...)
 	s.emitted = 0
 	s.buf = append(s.buf, p...)
 	for {
@@ -71,8 +78,15 @@
 // Buffered returns the length of the incomplete event in bytes.
 func (s *Splitter) Buffered() int { return len(s.buf) - s.emitted }
 
-// Capacity returns how many bytes of memory the buffer takes.
-func (s *Splitter) Capacity() int { return cap(s.buf) }
+// CapacityFor returns how many bytes of memory the buffer takes after Add of n bytes. It doubles, up to
+// what the longest event needs.
+func (s *Splitter) CapacityFor(n int) int {
+	need, size := s.Buffered()+n, cap(s.buf)
+	if need <= size {
+		return size
+	}
+	return max(need, min(max(2*size, minBufferBytes), maxEventBytes))
+}
 
 // Partial reports whether the buffer holds an incomplete event.
 func (s *Splitter) Partial() bool { return len(s.buf) > s.emitted }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/jacinthbend/jacinthbend/internal/clientbudget"
 	"github.com/jacinthbend/jacinthbend/internal/errkind"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
 	"github.com/jacinthbend/jacinthbend/internal/telemetry"
@@ -19,7 +20,7 @@
 
 // maxBufferedBytes limits the body of a response that is read to its end before
 // it is sent to the caller.
-const maxBufferedBytes = 8 << 20
+const maxBufferedBytes = clientbudget.MaxResponseBytes
 
 // errBrokenOff is the error of a response that ends with its connection, where nothing shows that
 // it is whole: its upstream may have ended, or no event of a stream has come.
@@ -152,7 +153,7 @@
 // relayBuffered reads a response to its end before it sends it to the caller, so
 // that the request can be retried if the response is truncated or invalid.
 func (r *request) relayBuffered(ctx context.Context, detector *stallDetector, choice *upstream.Choice, ticket *upstream.Ticket, resp *upstreamclient.Response, a fleet.ResponseAttributes) attemptResult {
-	body, err := r.readBody(resp, detector)
+	body, err := r.readBody(ctx, resp, detector)
 	resp.Close(err == nil)
 	if err == nil {
 		ticket.DataReceived(body.size)
@@ -190,25 +191,33 @@
 	r.g.Stats.countAttempt("error")
 	r.g.Logger.Info("upstream answered with an error", r.requestIDField(), zap.String("upstream", choice.Upstream.ID), zap.Int("status", resp.Status))
 	r.fallback = buffered
+	r.buffers.reserve(r.heldBytes(), true)
 	return retry
 }
 
 // readBody reads the body of a response to its end. The request holds the body's part of the buffer
 // budget until it ends.
-func (r *request) readBody(resp *upstreamclient.Response, detector *stallDetector) (*responseBody, error) {
-	body, held := &responseBody{}, r.buffers.held
-	err := r.readInto(body, held, resp, detector)
-	if err != nil {
-		r.buffers.resize(held)
+func (r *request) readBody(ctx context.Context, resp *upstreamclient.Response, detector *stallDetector) (*responseBody, error) {
+	body := &responseBody{}
+	if err := r.readInto(ctx, body, resp, detector); err != nil {
+		r.buffers.reserve(r.heldBytes(), true)
 		return nil, err
 	}
+	r.buffers.complete()
 	return body, nil
 }
 
-func (r *request) readInto(body *responseBody, held int, resp *upstreamclient.Response, detector *stallDetector) error {
-	longest := int64(maxBufferedBytes)
-	if resp.Length >= 0 {
-		longest = min(longest, resp.Length)
+func (r *request) readInto(ctx context.Context, body *responseBody, resp *upstreamclient.Response, detector *stallDetector) error {
+	longest, known := int64(maxBufferedBytes), false
+	if resp.Length >= 0 && resp.Body != http.NoBody {
+		if resp.Length > longest {
+			return errors.Errorf("the response body is longer than %d bytes", longest)
+		}
+		longest, known = resp.Length, true
+		// A response that has its whole memory before it is read holds nothing while it waits.
+		if err := r.reserveBuffers(ctx, detector, int(longest), true); err != nil {
+			return err
+		}
 	}
 	var beyond [1]byte
 	for {
@@ -220,8 +229,10 @@
 			space = beyond[:]
 		case space == nil:
 			segment := body.nextSegment(longest - int64(body.size))
-			if !r.buffers.resize(held + body.capacity + segment) {
-				return errBuffersFull
+			if !known {
+				if err := r.reserveBuffers(ctx, detector, body.capacity+segment, false); err != nil {
+					return err
+				}
 			}
 			body.grow(segment)
 			space = body.space()
@@ -291,16 +302,19 @@
 	header := r.g.Dialect.AnswerHeader(resp.Header)
 	buf := make([]byte, streamBufferBytes)
 	counted := false
-	fallback := 0
-	if r.fallback != nil {
-		fallback = r.fallback.body.capacity
-	}
 	for {
 		n, readErr := resp.Body.Read(buf)
 		if n > 0 {
 			detector.dataReceived()
 			ticket.DataReceived(n)
 		}
+		if err := r.reserveBuffers(ctx, detector, r.events.CapacityFor(n)-r.events.CapacityFor(0), false); err != nil {
+			resp.Close(false)
+			if errors.Is(err, errBuffersFull) {
+				return r.buffersFull(choice, ticket)
+			}
+			return r.streamInterrupted(ctx, detector, choice, ticket, err)
+		}
 		before := r.events.Events
 		events, err := r.events.Add(buf[:n])
 		if len(events) > 0 {
@@ -323,10 +337,6 @@
 				ticket.EventsDelayed()
 			}
 		}
-		if err == nil && !r.buffers.resize(fallback+r.events.Capacity()) {
-			resp.Close(false)
-			return r.buffersFull(choice, ticket)
-		}
 		if err == nil {
 			err = readErr
 		}
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -88,6 +88,7 @@
 		g.Buffers = clientbudget.NewShare(defaultMaxBufferedBytes)
 	}
 	g.Stats.watchWaiting(g.waiting)
+	g.Stats.watchBuffers(g.Buffers)
 	if g.Quarantine == nil {
 		g.Quarantine = quarantine.NewTable()
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -75,6 +75,8 @@
 	loadWait, rateWait                    time.Duration
 	// quotaWait is the time spent waiting for tokens of the team's quota.
 	quotaWait time.Duration
+	// bufferWait is the time spent waiting for memory for the response.
+	bufferWait time.Duration
 	// estimatedTTFT is the estimated time to the first token at the upstream of
 	// the last attempt.
 	estimatedTTFT time.Duration
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -242,6 +242,9 @@
 	if r.quotaWait > 0 {
 		fields = append(fields, zap.Duration("quota_wait", r.quotaWait))
 	}
+	if r.bufferWait > 0 {
+		fields = append(fields, zap.Duration("buffer_wait", r.bufferWait))
+	}
 	if !r.firstSentAt.IsZero() {
 		fields = append(fields, zap.Duration("sent_after", r.firstSentAt.Sub(r.start)))
 	}
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/jacinthbend/jacinthbend/internal/clientbudget"
 )
 
 // Stats holds the counters and histograms of a gateway.
@@ -48,3 +50,13 @@
 func (s *Stats) watchWaiting(q *quotaQueue) {
 	s.set.NewGauge("jacinthbend_admission_waiting", func() float64 { return float64(q.len()) })
 }
+
+// countBufferWait counts a response that waited for memory.
+func (s *Stats) countBufferWait(result string) {
+	s.set.GetOrCreateCounter(fmt.Sprintf("jacinthbend_response_memory_waits_total{result=%q}", result)).Inc()
+}
+
+// watchBuffers registers the number of responses that wait for memory of b.
+func (s *Stats) watchBuffers(b *clientbudget.Share) {
+	s.set.NewGauge("jacinthbend_response_memory_waiting", func() float64 { return float64(b.Waiting()) })
+}
