Limit the lines of an upstream's response head

Cause: row "endless head" of TestEndlessBodiesExhaustMemory exceeded its bound on a busy machine. The head of a response is limited to 64 KiB, but net/textproto keeps a string for each line and doubles their slice: 60 heads of 40 KiB in lines of 6 bytes took 13.4 MiB at rest and up to 37 MiB if goroutines were preempted while they copied the slice. Heads are not part of the buffer budget. Change: a head may have 256 lines; one with more fails like one that is too long. TestHeadLines guards the limit, and TestEndlessBodiesExhaustMemory gets a row of long lines, since the row of short ones now ends before 40 KiB.

--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -73,6 +73,7 @@
 		"error":        {"/once/", responseHead(500, "r1", "Transfer-Encoding: chunked") + "\r\n", "1000\r\n" + strings.Repeat("b", 4096) + "\r\n", 1100 << 10},
 		"one event":    {"/stream/", responseHead(200, "r1", "Content-Type: text/event-stream") + "\r\n", strings.Repeat("b", 4096), 200 << 10},
 		"endless head": {"/once/", responseHead(200, "r1"), "X: x\r\n", 40 << 10},
+		"long lines":   {"/once/", responseHead(200, "r1"), "X: " + strings.Repeat("x", 1000) + "\r\n", 40 << 10},
 	} {
 		t.Run(name, func(t *testing.T) {
 			check := is.New(t)
--- a/internal/upstreamclient/client.go
+++ b/internal/upstreamclient/client.go
@@ -37,6 +37,9 @@
 	// maxHeadBytes bounds the status line and header of a response. Upstreams in use
 	// send less than 1 KiB.
 	maxHeadBytes = 64 << 10
+	// maxHeadLines bounds the lines of a head, because net/http takes many times the bytes of short
+	// lines while it parses them: 230 to 640 KiB for 40 KiB in lines of 6 bytes.
+	maxHeadLines = 256
 	// maxDiscardedBytes and discardTimeout bound the rest of a response that nobody
 	// needs. Reading it saves a new connection, which is worth less than either.
 	maxDiscardedBytes = 64 << 10
--- a/internal/upstreamclient/conn.go
+++ b/internal/upstreamclient/conn.go
@@ -40,7 +40,7 @@
 
 // readHead reads the status line and header of a response.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.in.limit(maxHeadBytes)
+	c.in.limitHead()
 	defer c.in.unlimit()
 	return http.ReadResponse(c.r, &http.Request{Method: method})
 }
--- a/internal/upstreamclient/endless_test.go
+++ b/internal/upstreamclient/endless_test.go
@@ -60,6 +60,29 @@
 	}
 }
 
+// TestHeadLines guards against a head of many short lines, which takes many times its length in memory
+// before it reaches the limit in bytes, and against refusing one with as many lines as are allowed.
+func TestHeadLines(t *testing.T) {
+	for _, row := range []struct {
+		lines int
+		ok    bool
+	}{{maxHeadLines - 4, true}, {16 << 10 / len("X: x\r\n"), false}} {
+		check := is.New(t)
+		u := startUpstream(t, func(w io.Writer, _, _ int) bool {
+			_, err := io.WriteString(w, "HTTP/1.1 200 OK\r\n"+strings.Repeat("X: x\r\n", row.lines)+idHeader+": r\r\nContent-Length: 0\r\n\r\n")
+			return err == nil
+		})
+		resp, err := newTestClient().Do(t.Context(), u.addr, testRequest("r"))
+		check.Equal(err == nil, row.ok)
+		if err == nil {
+			check.Equal(len(resp.Header["X"]), row.lines)
+			resp.Close(true)
+			continue
+		}
+		check.True(errors.Is(err, errTooManyHeadLines))
+	}
+}
+
 // TestEndlessBody guards against a chunked body whose chunk extension or trailer
 // never ends.
 func TestEndlessBody(t *testing.T) {
--- a/internal/upstreamclient/limited_reader.go
+++ b/internal/upstreamclient/limited_reader.go
@@ -1,6 +1,7 @@
 package upstreamclient
 
 import (
+	"bytes"
 	"io"
 
 	"github.com/pkg/errors"
@@ -9,15 +10,20 @@
 // errHeadTooLong is the error of a response head that exceeds maxHeadBytes.
 var errHeadTooLong = errors.Errorf("the response head exceeds %d bytes", maxHeadBytes)
 
-// limitedReader fails once it has read more bytes than its limit allows.
+// errTooManyHeadLines is the error of a response head that exceeds maxHeadLines.
+var errTooManyHeadLines = errors.Errorf("the response head exceeds %d lines", maxHeadLines)
+
+// limitedReader fails once it has read more bytes or lines than its limits allow.
 type limitedReader struct {
-	r         io.Reader
-	limited   bool
-	remaining int
+	r                         io.Reader
+	limited                   bool
+	remaining, remainingLines int
 }
 
-// limit allows n further bytes.
-func (l *limitedReader) limit(n int) { l.limited, l.remaining = true, n }
+// limitHead allows one further response head.
+func (l *limitedReader) limitHead() {
+	l.limited, l.remaining, l.remainingLines = true, maxHeadBytes, maxHeadLines
+}
 
 func (l *limitedReader) unlimit() { l.limited = false }
 
@@ -26,7 +32,13 @@
 	if l.limited && l.remaining <= 0 {
 		return 0, errHeadTooLong
 	}
+	if l.limited && l.remainingLines <= 0 {
+		return 0, errTooManyHeadLines
+	}
 	n, err := l.r.Read(p)
-	l.remaining -= n
+	if l.limited {
+		l.remaining -= n
+		l.remainingLines -= bytes.Count(p[:n], []byte{'\n'})
+	}
 	return n, err
 }
