Show the memory that responses hold, and wait for it in the tests of responses that wait

Change: gauge jacinthbend_response_memory_bytes; the tests wait until the first response holds the memory and the others wait for it, instead of sleeping.

--- a/internal/clientbudget/response.go
+++ b/internal/clientbudget/response.go
@@ -88,6 +88,13 @@
 // Held returns how many bytes the response holds.
 func (r *Response) Held() int64 { return r.held }
 
+// Used returns how many bytes of the share are held.
+func (s *Share) Used() int64 {
+	s.total.mu.Lock()
+	defer s.total.mu.Unlock()
+	return s.used
+}
+
 // Waiting returns how many responses wait for memory.
 func (s *Share) Waiting() int {
 	s.total.mu.Lock()
--- a/internal/gateway/buffer_wait_test.go
+++ b/internal/gateway/buffer_wait_test.go
@@ -19,12 +19,11 @@
 	return env
 }
 
-// holdFirst answers the first request with half of a body of size bytes, and sends the rest once finish
-// is closed. It answers the others at once.
+// holdFirst answers request r0 with half of a body of size bytes, and sends the rest once finish is
+// closed. It answers the others at once.
 func holdFirst(size int, finish <-chan struct{}) script {
-	var count atomic.Int64
 	return func(c net.Conn, req receivedRequest) bool {
-		if count.Add(1) > 1 {
+		if req.header.Get(requestIDHeader) != "r0" {
 			return respond(200, strings.Repeat("x", size))(c, req)
 		}
 		half := strings.Repeat("x", size/2)
@@ -37,6 +36,13 @@
 	}
 }
 
+// waitHeld waits until responses hold n bytes and waiting others wait for memory.
+func (env *testEnv) waitHeld(n int64, waiting int) {
+	env.eventually("responses to hold or wait for memory", func() bool {
+		return env.gateway.Buffers.Used() == n && env.gateway.Buffers.Waiting() == waiting
+	})
+}
+
 // loggedWaits returns how many requests waited for memory and ended.
 func (env *testEnv) loggedWaits() int {
 	n := 0
@@ -64,10 +70,8 @@
 					check.Equal(resp.status, 200)
 					check.Equal(len(resp.body), limit)
 				})
-				env.eventually("the request to arrive", func() bool { return len(env.receivedRequests()) == i+1 })
+				env.waitHeld(limit, i)
 			}
-			time.Sleep(100 * time.Millisecond) // the last two wait
-			check.Equal(env.lifecycle.Running(), int64(3))
 			close(finish)
 			wg.Wait()
 			env.waitIdle()
@@ -90,7 +94,7 @@
 			wg.Go(func() {
 				check.Equal(env.send("POST", "/once/", "x", withID(0), "Jacinthbend-Deadline-Ms: 8000").status, 200)
 			})
-			env.eventually("the request to arrive", func() bool { return len(env.receivedRequests()) == 1 })
+			env.waitHeld(limit, 0)
 			start := time.Now()
 			resp := env.send("POST", path, "x", withID(1), fmt.Sprintf("Jacinthbend-Deadline-Ms: %d", timeout.Milliseconds()))
 			took := time.Since(start)
@@ -117,14 +121,14 @@
 	env := newBufferEnv(t, limit, holdFirst(limit, finish))
 	var wg sync.WaitGroup
 	wg.Go(func() { check.Equal(env.send("POST", "/once/", "x", withID(0)).status, 200) })
-	env.eventually("the first request to arrive", func() bool { return len(env.receivedRequests()) == 1 })
+	env.waitHeld(limit, 0)
 	c := env.dial()
 	env.writeRequest(c, "POST", "/once/", "x", withID(1))
-	env.eventually("the second request to arrive", func() bool { return len(env.receivedRequests()) == 2 })
-	time.Sleep(50 * time.Millisecond) // its response waits
+	env.waitHeld(limit, 1)
 	left := time.Now()
 	check.NoErr(c.Close())
 	env.eventually("the request to end", func() bool { return env.lifecycle.Running() == 1 })
+	env.waitHeld(limit, 0)
 	check.True(time.Since(left) < maxRunAfterDisconnect)
 	check.Equal(env.loggedWaits(), 1)
 	close(finish)
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -56,7 +56,8 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf("jacinthbend_response_memory_waits_total{result=%q}", result)).Inc()
 }
 
-// watchBuffers registers the number of responses that wait for memory of b.
+// watchBuffers registers the bytes that responses hold of b and the number of those that wait.
 func (s *Stats) watchBuffers(b *clientbudget.Share) {
+	s.set.NewGauge("jacinthbend_response_memory_bytes", func() float64 { return float64(b.Used()) })
 	s.set.NewGauge("jacinthbend_response_memory_waiting", func() float64 { return float64(b.Waiting()) })
 }
