Let a relay without fresh records still lend quota

The client keeps one time per instance until which it is not called; a read of topics from a relay that timed out or got no fresh records set it, too. For a second, a team within its rate was then refused what its other holder had free. Change: such a relay is not read from for a second, and still called for everything else; a call for quota that fails sets the common time, as before. TestStaleRelayLends fails without the change. A holder that does not answer within 80 ms is still not called for a second, so the test can fail where a call between processes takes longer.

--- a/internal/entryrpc/client.go
+++ b/internal/entryrpc/client.go
@@ -27,7 +27,7 @@
 	// records.
 	relayReadMargin = 150 * time.Millisecond
 	// unavailableBackoff is how long the client does not call an instance that did
-	// not answer, or that as a relay had no fresh records.
+	// not answer, or does not use a relay that did not answer or had no fresh records.
 	unavailableBackoff = time.Second
 	// maxBorrowCalls bounds the borrow calls for one request.
 	maxBorrowCalls = 6
@@ -40,8 +40,9 @@
 	view  func() *fleet.View
 
 	mu sync.Mutex
-	// backoffUntil is when an instance may be called again, by address.
-	backoffUntil map[string]time.Time
+	// backoffUntil is when an instance may be called again, by address, and relayBackoffUntil when
+	// it may be used as a relay again. A relay whose records are late still lends quota.
+	backoffUntil, relayBackoffUntil map[string]time.Time
 }
 
 // NewClient returns the client of the instance called self. It calls the entry
@@ -51,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Client{self: self, peers: peers, view: view, backoffUntil: make(map[string]time.Time)}, nil
+	return &Client{self: self, peers: peers, view: view, backoffUntil: make(map[string]time.Time), relayBackoffUntil: make(map[string]time.Time)}, nil
 }
 
 // Peers returns the client of the connections to other instances.
@@ -86,6 +87,12 @@
 	c.backoffUntil[addr] = time.Now().Add(unavailableBackoff)
 }
 
+func (c *Client) markRelayUnavailable(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.relayBackoffUntil[addr] = time.Now().Add(unavailableBackoff)
+}
+
 var _ topicwatch.Source = (*Client)(nil)
 
 // List implements topicwatch.Source. It asks the other entry instances one by one and
@@ -175,7 +182,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return topicRelays(v, c.self, t, func(m fleet.Member) bool {
-		return m.Name == c.self || now.After(c.backoffUntil[m.Addr])
+		return m.Name == c.self || now.After(c.backoffUntil[m.Addr]) && now.After(c.relayBackoffUntil[m.Addr])
 	})
 }
 
@@ -196,7 +203,7 @@
 	}
 	err := c.peers.Call(callCtx, m.Addr, pathTopic, req, &resp)
 	if err != nil || !resp.Known {
-		c.markUnavailable(m.Addr)
+		c.markRelayUnavailable(m.Addr)
 		return topicwatch.Page{}, topicwatch.RelayFailed
 	}
 	return resp.Page, topicwatch.Relayed
