Leave the reserve free beside the demand of those in time when booking for late callers

Cause: Demand.FreshRate is an average over a window, which is late to tell of a burst.

Change: bookings for late callers leave the reserve free as well.

--- a/internal/tokenquota/booking.go
+++ b/internal/tokenquota/booking.go
@@ -222,7 +222,8 @@
 			return at, true
 		}
 	}
-	rate = max(rate, q.contention.demand.FreshRate(r.Ask, l.sinceEpoch(now), l.window()))
+	// The demand of a window is late to tell of a burst, which the reserve makes up for.
+	rate += q.contention.demand.FreshRate(r.Ask, l.sinceEpoch(now), l.window())
 	at, found := s.Earliest(r.Piece+bookingMargin, rate)
 	return at, found && at-l.sinceEpoch(now) <= r.Returns
 }
--- a/internal/tokenquota/burst_callers_test.go
+++ b/internal/tokenquota/burst_callers_test.go
@@ -131,6 +131,40 @@
 	}
 }
 
+// TestCalmDay guards against tokens that are kept for callers whom they serve late, although others come whom they
+// would serve in time, on days on which few are refused: at 1.5 and 1.6 times a team's rate, of which its burst is a part,
+// and with five times for a second. The numbers are the fewest that were served in time in 6 runs without any tokens kept for
+// late callers; they vary by less than 2 in 1,000. If the demand of those in time was not left free, 2,902 were.
+func TestCalmDay(t *testing.T) {
+	bursts := func(_ string, now time.Duration) float64 {
+		if now%(8*time.Second) < time.Second {
+			return 5
+		}
+		return 0.7
+	}
+	steadily := func(factor float64) func(string, time.Duration) float64 {
+		return func(string, time.Duration) float64 { return factor }
+	}
+	for _, row := range []struct {
+		instances, inTime int
+		factor            func(name string, now time.Duration) float64
+	}{
+		{4, 2801, steadily(1.5)},
+		{23, 2804, steadily(1.5)},
+		{4, 2972, steadily(1.6)},
+		{23, 2961, steadily(1.6)},
+		{4, 2599, bursts},
+		{23, 2597, bursts},
+	} {
+		inTime := 0
+		for _, r := range (callerLoad{instances: row.instances, comeEarly: true, factor: row.factor}).play(t) {
+			inTime += r[served] - r[late]
+		}
+		t.Logf("%d served in time", inTime)
+		is.New(t).True(float64(inTime) >= 0.998*float64(row.inTime))
+	}
+}
+
 // lessUrgentBurst is the load of a burst of the least urgent route, from 4.5 to 15 s. With team, its team
 // sends eight times its usual of everything from 6.1 to 11.9 s.
 func lessUrgentBurst(more float64, team bool) func(name string, now time.Duration) float64 {
