Let less urgent requests leave what more urgent ones were refused, instead of nothing for all

Change: they leave the tokens of those refused. Bookings for late callers are made beside the larger of reserve and demand.

--- a/internal/admission/refusals.go
+++ b/internal/admission/refusals.go
@@ -7,30 +7,43 @@
 // 2 s and more, tokens stayed unused in the replays of bursts; with less, they went to the least urgent route.
 const refusalMemory = 1500 * time.Millisecond
 
-// Refusals remembers the last request of each urgency and size class that was refused because
-// nothing was free in time. The zero value remembers none.
+// Refusals remembers the requests of each urgency and size class that were refused because nothing was free
+// in time. The zero value remembers none.
 type Refusals struct {
-	last map[refusalKind]time.Duration
+	kinds map[refusalKind]refused
 }
 
 type refusalKind struct{ urgency, class int }
 
+// refused are the last refusal of a kind, and the tokens of those that followed each other within
+// refusalMemory.
+type refused struct {
+	at     time.Duration
+	tokens float64
+}
+
 // Add remembers a refusal at the time now since the epoch.
 func (r *Refusals) Add(a Ask, now time.Duration) {
-	if r.last == nil {
-		r.last = make(map[refusalKind]time.Duration)
+	if r.kinds == nil {
+		r.kinds = make(map[refusalKind]refused)
+	}
+	kind := refusalKind{a.urgency(), a.class()}
+	last := r.kinds[kind]
+	if now-last.at > refusalMemory {
+		last.tokens = 0
 	}
-	r.last[refusalKind{a.urgency(), a.class()}] = now
+	r.kinds[kind] = refused{now, last.tokens + a.Tokens}
 }
 
-// Before reports whether a request that is more urgent than a and not much larger was refused
+// Before returns the tokens of requests that are more urgent than a and not much larger, and were refused
 // lately. Tokens that become free are for such requests then: a less urgent one, which may
 // often wait for longer, would otherwise be served more often.
-func (r *Refusals) Before(a Ask, now time.Duration) bool {
-	for kind, at := range r.last {
-		if now-at <= refusalMemory && kind.urgency < a.urgency() && kind.class <= a.class()+1 {
-			return true
+func (r *Refusals) Before(a Ask, now time.Duration) float64 {
+	sum := 0.0
+	for kind, last := range r.kinds {
+		if now-last.at <= refusalMemory && kind.urgency < a.urgency() && kind.class <= a.class()+1 {
+			sum += last.tokens
 		}
 	}
-	return false
+	return sum
 }
--- a/internal/tokenquota/booking.go
+++ b/internal/tokenquota/booking.go
@@ -216,14 +216,13 @@
 // free beside all requests that they would serve within their objective.
 func (l *Limiter) bookingTime(q *teamQuota, r BookRequest, s *admission.Schedule, now time.Time) (at time.Duration, book bool) {
 	rate := l.reserveRate(q, r.Ask, true, now)
-	if !l.yields(q, r.Ask, now) {
+	if l.refusedBefore(q, r.Ask, now) == 0 {
 		at, found := s.Earliest(r.Piece+bookingMargin, rate)
 		if found && at-l.sinceEpoch(now) <= r.Longest {
 			return at, true
 		}
 	}
-	// The demand of a window is late to tell of a burst, which the reserve makes up for.
-	rate += q.contention.demand.FreshRate(r.Ask, l.sinceEpoch(now), l.window())
+	rate = max(rate, q.contention.demand.FreshRate(r.Ask, l.sinceEpoch(now), l.window()))
 	at, found := s.Earliest(r.Piece+bookingMargin, rate)
 	return at, found && at-l.sinceEpoch(now) <= r.Returns
 }
--- a/internal/tokenquota/contention.go
+++ b/internal/tokenquota/contention.go
@@ -37,26 +37,28 @@
 	if q.share == 0 {
 		return unspent
 	}
-	except, rate := uint64(0), 0.0
+	except, rate, before := uint64(0), 0.0, 0.0
 	if due {
 		except = r.Digest
-	} else if l.yields(q, r.Ask, now) {
-		return 0
 	} else {
-		rate = l.reserveRate(q, r.Ask, false, now)
+		rate, before = l.reserveRate(q, r.Ask, false, now), l.refusedBefore(q, r.Ask, now)
 	}
-	if !q.contention.ledger.Booked() && unspent-r.Missing >= admission.Reserve(rate, l.window()+loanTTL) {
+	if before == 0 && !q.contention.ledger.Booked() && unspent-r.Missing >= admission.Reserve(rate, l.window()+loanTTL) {
 		return unspent
 	}
 	s := l.schedule(q, now)
 	q.contention.ledger.Withhold(s, except)
 	s.Sum()
-	return s.Room(rate)
+	return max(0, s.Room(rate)-before)
 }
 
-// yields reports whether a request gets nothing now because more urgent ones are refused.
-func (l *Limiter) yields(q *teamQuota, a admission.Ask, now time.Time) bool {
-	return !l.ignoreReserve && q.contention.refusals.Before(a, l.sinceEpoch(now))
+// refusedBefore returns the tokens of more urgent requests that were refused lately, which a request leaves
+// free for the next of them.
+func (l *Limiter) refusedBefore(q *teamQuota, a admission.Ask, now time.Time) float64 {
+	if l.ignoreReserve {
+		return 0
+	}
+	return q.contention.refusals.Before(a, l.sinceEpoch(now))
 }
 
 // schedule returns what will be left of the share, before bookings.
