Use the numbers of cache events, and do not refute what may have been read before the list began

A late event could bring back an evicted part, and parts whose eviction was never told could fill the list for good. Events older than the last one of their part are ignored, and at 512 parts one that has been listed for 10 minutes gives way to a new one. What an instance first sent before the list began counts as before, since an engine that still has it from then reports nothing. Reset also covers evicted parts, whose numbers would otherwise hide the events of an engine that restarted.

--- a/internal/engineagent/prompt_cache.go
+++ b/internal/engineagent/prompt_cache.go
@@ -128,10 +128,10 @@
 func (a *Agent) dropPromptParts(reason string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	known, listed := a.promptParts.Len()
-	if known == 0 && listed == 0 {
+	if a.promptParts.Empty() {
 		return
 	}
+	known, listed := a.promptParts.Len()
 	a.version++
 	a.promptParts.Reset(a.version)
 	a.metrics.GetOrCreateCounter(fmt.Sprintf("jacinthbend_prompt_cache_resets_total{reason=%q}", reason)).Inc()
--- a/internal/fleet/cache_events.go
+++ b/internal/fleet/cache_events.go
@@ -18,7 +18,9 @@
 // CacheEvent tells that a prompt part is cached with Tokens tokens, or that it no longer is,
 // with 0.
 type CacheEvent struct {
-	ID string
+	// Number orders the events of an epoch, which may arrive late; 0 is unknown.
+	Number int64
+	ID     string
 	// Name is MODEL or MODEL/ADAPTER.
 	Name   string
 	Tokens int
--- a/internal/promptcache/parts.go
+++ b/internal/promptcache/parts.go
@@ -86,8 +86,8 @@
 	return tokens, true
 }
 
-// Lists reports whether a part of this many tokens that was read after sentAt would be listed
-// if it were still cached. It may take some seconds until it is.
+// Lists reports whether a part of this many tokens that was sent for the first time at sentAt
+// would be listed if it were still cached. It may take some seconds until it is.
 func (p *Parts) Lists(tokens int, sentAt time.Time) bool {
 	return p != nil && tokens >= MinTokens && sizeOf(tokens) > p.floor && sentAt.After(p.since)
 }
--- a/internal/promptcache/tracker.go
+++ b/internal/promptcache/tracker.go
@@ -13,8 +13,8 @@
 	// MinTokens is the size below which a part is not reported. An engine reads that many
 	// tokens in less than 2 ms, and the entry of a part costs 12 bytes for each instance.
 	MinTokens = 64
-	// maxKnown bounds the parts that a tracker knows, of which the largest are reported. An
-	// engine with memory for 225,000 tokens holds a few hundred.
+	// maxKnown bounds the parts that a tracker knows, with those that were evicted, of which late
+	// events may arrive. An engine with memory for 225,000 tokens holds a few hundred.
 	maxKnown = 4096
 	// maxPartsOfFleet bounds the reported parts of all engines together, which each entry
 	// instance keeps: 65,536 parts of 9 bytes.
@@ -27,6 +27,9 @@
 	watchedEngines = 64
 	// maxEngineBytes is the rate of one engine where there are few.
 	maxEngineBytes = 400.0
+	// unsureAge is after how long a listed part may be dropped for another one. The event of its
+	// eviction may never have arrived, and such parts would fill the list for good.
+	unsureAge = 10 * time.Minute
 	// burstTime is for how long an unused rate is saved.
 	burstTime = 10 * time.Second
 	// minInterval is the time between two reports, and fleetReports how many an entry instance
@@ -75,8 +78,11 @@
 	// now is the size by the events, reported that in the reports as of version.
 	now, reported size
 	version       uint64
-	// sequence orders the parts by their last event.
+	// sequence orders the parts by their last event, whose number is number. listedAt is when
+	// the part was added to the list.
 	sequence uint64
+	number   int64
+	listedAt time.Time
 }
 
 type removal struct {
@@ -87,8 +93,18 @@
 // NewTracker returns a tracker of an engine with an empty cache.
 func NewTracker() *Tracker { return &Tracker{parts: make(map[uint64]*part)} }
 
-// Len returns the number of known and of reported parts.
-func (t *Tracker) Len() (known, listed int) { return len(t.parts), t.listed }
+// Empty reports whether there have been no events since Reset.
+func (t *Tracker) Empty() bool { return len(t.parts) == 0 }
+
+// Len returns the number of parts that are cached, and of those that are reported.
+func (t *Tracker) Len() (cached, listed int) {
+	for _, p := range t.parts {
+		if p.now != 0 {
+			cached++
+		}
+	}
+	return cached, t.listed
+}
 
 // Reset discards the list as of version: callers that have an earlier one get a full list,
 // which is empty and says of no part that it would be listed.
@@ -107,35 +123,27 @@
 		s = sizeOf(e.Tokens)
 	}
 	if !ok {
-		if s == 0 {
-			return
-		}
 		t.makeRoom()
 		p = &part{}
 		t.parts[h] = p
 	}
-	p.now, p.sequence = s, t.sequence
-	if p.now == 0 && p.reported == 0 {
-		delete(t.parts, h)
+	if e.Number > 0 && e.Number < p.number {
+		return // arrived after a newer event of the part
 	}
+	p.now, p.sequence, p.number = s, t.sequence, e.Number
 }
 
-// makeRoom forgets the part with the oldest event of those that are not listed. Listed ones
-// are at most MaxParts.
+// makeRoom forgets parts that are not listed, those with the oldest events.
 func (t *Tracker) makeRoom() {
 	if len(t.parts) < maxKnown {
 		return
 	}
-	var oldest uint64
-	found := false
+	// Listed parts are at most MaxParts, so that many others are forgotten.
 	for h, p := range t.parts {
-		if p.reported == 0 && (!found || p.sequence < t.parts[oldest].sequence) {
-			oldest, found = h, true
+		if p.reported == 0 && p.sequence+maxKnown/2 < t.sequence {
+			delete(t.parts, h)
 		}
 	}
-	if found {
-		delete(t.parts, oldest)
-	}
 }
 
 // change is a part whose reported size differs.
@@ -156,6 +164,14 @@
 	n, floor, budget := 0, size(0), t.budget-float64(reportText)
 	for _, c := range t.pending() {
 		adds := c.part.reported == 0
+		if adds && t.listed >= limit && budget >= 2*entryText {
+			if old, ok := t.unsure(now); ok {
+				old.part.now = 0
+				budget -= entryText
+				n++
+				t.report(old, version, now)
+			}
+		}
 		if budget < entryText || adds && t.listed >= limit {
 			if adds {
 				floor = max(floor, c.part.now)
@@ -164,7 +180,7 @@
 		}
 		budget -= entryText
 		n++
-		t.report(c, version)
+		t.report(c, version, now)
 	}
 	if n == 0 && (floor <= t.floor || budget < 0) {
 		return false
@@ -209,16 +225,30 @@
 	return out
 }
 
-func (t *Tracker) report(c change, version uint64) {
+// unsure returns one of the parts that have been listed for unsureAge. It is not the oldest one,
+// since the oldest ones are also those that are used again and again.
+func (t *Tracker) unsure(now time.Time) (out change, found bool) {
+	var lowest uint64
+	for h, p := range t.parts {
+		const odd = 0x9e3779b97f4a7c15
+		order := (h ^ t.sequence) * odd
+		if p.reported != 0 && p.now != 0 && now.Sub(p.listedAt) > unsureAge && (!found || order < lowest) {
+			out, lowest, found = change{hash: h, part: p}, order, true
+		}
+	}
+	return out, found
+}
+
+func (t *Tracker) report(c change, version uint64, now time.Time) {
 	if c.part.reported == 0 {
 		t.listed++
+		c.part.listedAt = now
 	}
 	c.part.reported, c.part.version = c.part.now, version
 	if c.part.now != 0 {
 		return
 	}
 	t.listed--
-	delete(t.parts, c.hash)
 	t.gone = append(t.gone, removal{hash: c.hash, version: version})
 	if len(t.gone) > MaxParts {
 		t.completeSince = t.gone[0].version
--- a/internal/upstream/prefix_cache.go
+++ b/internal/upstream/prefix_cache.go
@@ -16,14 +16,16 @@
 const prefixesPerUpstream = 256
 
 // prefixCache remembers the prompt prefixes that this instance sent to one
-// upstream, and when. The upstream keeps a part in its cache only together with
+// upstream, and when for the first and the last time. The upstream keeps a part in its cache only together with
 // all parts before it.
 type prefixCache struct {
-	seen *lru.Cache[uint64, time.Time]
+	seen *lru.Cache[uint64, sentTimes]
 }
 
+type sentTimes struct{ first, last time.Time }
+
 func newPrefixCache() prefixCache {
-	c, err := lru.New[uint64, time.Time](prefixesPerUpstream)
+	c, err := lru.New[uint64, sentTimes](prefixesPerUpstream)
 	if err != nil {
 		// New only fails if the size is not positive.
 		panic(err.Error())
@@ -69,7 +71,7 @@
 func (c *prefixCache) cachedTokens(h promptHashes, prompt []fleet.PromptPart, report *promptcache.Parts, recent time.Time) int {
 	tokens := 0
 	for i, p := range prompt[:len(h.prefixes)] {
-		if sentAt, ok := c.seen.Peek(h.prefixes[i]); ok && (report == nil || sentAt.After(recent) || !report.Lists(p.Tokens, sentAt)) {
+		if sent, ok := c.seen.Peek(h.prefixes[i]); ok && (report == nil || sent.last.After(recent) || !report.Lists(p.Tokens, sent.first)) {
 			tokens += p.Tokens
 			continue
 		}
@@ -87,7 +89,12 @@
 
 func (c *prefixCache) add(prefixes []uint64, now time.Time) {
 	for _, h := range prefixes {
-		c.seen.Add(h, now)
+		sent, ok := c.seen.Peek(h)
+		if !ok {
+			sent.first = now
+		}
+		sent.last = now
+		c.seen.Add(h, sent)
 	}
 }
 
