Take less time for the choice without reports

The times are kept by pointer, a prefix is hashed without joining strings, and states are only looked at for reports if an engine has made one.

--- a/internal/agentapi/state.go
+++ b/internal/agentapi/state.go
@@ -25,6 +25,8 @@
 	// StartedAtMS is when the engine started, in Unix milliseconds. It distinguishes
 	// restarts.
 	StartedAtMS int64 `json:"born"`
+	// Cached are the prompt parts by PromptParts and the earlier reports, nil if there is none.
+	Cached *promptcache.Parts `json:"-"`
 	// Holdings is omitted if it has not changed since the version that the caller
 	// has.
 	Holdings *fleet.Holdings `json:"holdings,omitempty"`
@@ -51,8 +53,6 @@
 	// PromptParts is what the caller does not have yet of the report of the prompt parts that
 	// the engine has cached; empty if that is nothing, or the engine does not tell.
 	PromptParts string `json:"prompt_parts,omitempty"`
-	// Cached are the parts by this and the earlier reports, nil if there is none.
-	Cached *promptcache.Parts `json:"-"`
 }
 
 // StateRequest asks for a state newer than After, and reports the demand that
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -116,7 +116,7 @@
 	}
 	h := s.holdings(now)
 	c.hasModel, c.hasAdapter = h.HasModel(q.Model), h.HasAdapter(q.Model, q.Adapter)
-	c.uncachedTokens = max(0, q.TokensIn-s.prefixes.cachedTokens(hashes, q.Prompt, s.cachedParts(now), now.Add(-p.reportLag)))
+	c.uncachedTokens = max(0, q.TokensIn-s.prefixes.cachedTokens(hashes, q.Prompt, p.cachedParts(s, now), now.Add(-p.reportLag)))
 	e := s.speed.FirstToken(l.work(c.uncachedTokens, model), now)
 	c.promptTime = speed.Milliseconds(e.Prompt)
 	c.delay = e.Total() + l.extraDelay()
--- a/internal/upstream/prefix_cache.go
+++ b/internal/upstream/prefix_cache.go
@@ -19,13 +19,13 @@
 // upstream, and when for the first and the last time. The upstream keeps a part in its cache only together with
 // all parts before it.
 type prefixCache struct {
-	seen *lru.Cache[uint64, sentTimes]
+	seen *lru.Cache[uint64, *sentTimes]
 }
 
 type sentTimes struct{ first, last time.Time }
 
 func newPrefixCache() prefixCache {
-	c, err := lru.New[uint64, sentTimes](prefixesPerUpstream)
+	c, err := lru.New[uint64, *sentTimes](prefixesPerUpstream)
 	if err != nil {
 		// New only fails if the size is not positive.
 		panic(err.Error())
@@ -60,11 +60,20 @@
 
 func (h *promptHashes) addPrefixes(d *xxhash.Digest, parts []fleet.PromptPart) {
 	for i, p := range parts {
-		_, _ = d.WriteString("|" + p.ID)
+		_, _ = d.WriteString("|")
+		_, _ = d.WriteString(p.ID)
 		h.prefixes[i] = d.Sum64()
 	}
 }
 
+// cachedParts returns the report of what an engine has cached, nil if there is none.
+func (p *Pool) cachedParts(s *state, now time.Time) *promptcache.Parts {
+	if !p.cacheReports || !s.hasAgentState(now) {
+		return nil
+	}
+	return s.agent.Cached
+}
+
 // cachedTokens returns the number of tokens in the longest prefix of the prompt that the
 // engine has, by what this instance sent and by the engine's report, which may be nil. What
 // was sent after recent may be missing from the report.
@@ -89,12 +98,12 @@
 
 func (c *prefixCache) add(prefixes []uint64, now time.Time) {
 	for _, h := range prefixes {
-		sent, ok := c.seen.Peek(h)
+		sent, ok := c.seen.Get(h)
 		if !ok {
-			sent.first = now
+			sent = &sentTimes{first: now}
+			c.seen.Add(h, sent)
 		}
 		sent.last = now
-		c.seen.Add(h, sent)
 	}
 }
 
--- a/internal/upstream/prompt_metrics.go
+++ b/internal/upstream/prompt_metrics.go
@@ -21,7 +21,7 @@
 // countPrompt counts the tokens of an attempt, before its prompt is remembered.
 func (p *Pool) countPrompt(s *state, q *Query, h promptHashes, now time.Time) {
 	own := s.prefixes.cachedTokens(promptHashes{prefixes: h.prefixes}, q.Prompt, nil, now)
-	cached := s.prefixes.cachedTokens(h, q.Prompt, s.cachedParts(now), now.Add(-p.reportLag))
+	cached := s.prefixes.cachedTokens(h, q.Prompt, p.cachedParts(s, now), now.Add(-p.reportLag))
 	p.prompts.sentHere.Add(min(own, cached))
 	p.prompts.reported.Add(max(0, cached-own))
 	p.prompts.uncached.Add(max(0, q.TokensIn-cached))
@@ -33,7 +33,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.states {
-		if r := s.cachedParts(now); r != nil {
+		if r := p.cachedParts(s, now); r != nil {
 			engines++
 			parts += r.Len()
 		}
--- a/internal/upstream/state.go
+++ b/internal/upstream/state.go
@@ -6,7 +6,6 @@
 
 	"github.com/jacinthbend/jacinthbend/internal/agentapi"
 	"github.com/jacinthbend/jacinthbend/internal/fleet"
-	"github.com/jacinthbend/jacinthbend/internal/promptcache"
 	"github.com/jacinthbend/jacinthbend/internal/slidingwindow"
 	"github.com/jacinthbend/jacinthbend/internal/speed"
 )
@@ -93,14 +92,6 @@
 	return s.agent != nil && s.agent.Reachable && now.Sub(s.agentConfirmedAt) < maxAgentStateAge && s.agent.StartedAtMS == s.upstream.StartedAtMS
 }
 
-// cachedParts returns the report of what the engine has cached, nil if there is none.
-func (s *state) cachedParts(now time.Time) *promptcache.Parts {
-	if s.agent == nil || s.agent.Cached == nil || !s.hasAgentState(now) {
-		return nil
-	}
-	return s.agent.Cached
-}
-
 // holdings returns the most recent known holdings.
 func (s *state) holdings(now time.Time) *fleet.Holdings {
 	if s.hasAgentState(now) {
