Back off when another process with the same instance id has joined

Cause: one cell of TestFaultPairs (F17 with F17) once ended with "a1 ends with version 205 of 205, refusal view_stale, offset 1626". In cells whose two faults kill and restart the same instance, the second restart left the process of the first running: two processes had one id and one address. Each joined again as soon as the other had replaced it, since the wait between joins was skipped for an incarnation that had joined: 960 to 1,987 joins in 12 of 12 such cells. The checker reads one of the two; it failed when the other had joined last at the end of the cell. Change: an instance that is replaced within 30 s after its join waits before it joins again, with the backoff that the comment of joinLoop already describes. In the simulation a process that starts ends the one that has its address, as only one can listen there; so the second restart is a real one, and the checks of the cell stay as they are. Two processes with one id are covered by TestTwoProcessesOfOneInstance, which fails without the change. The failure of the cell itself was not seen again before the change, in 200 runs of it.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -89,9 +89,12 @@
 		}
 		if m.joined {
 			m.renewIncarnation()
-			if time.Since(joinedAt) > 2*maxRejoinDelay {
-				delays.Reset()
+			if time.Since(joinedAt) <= 2*maxRejoinDelay {
+				// Another process with this instance id may have joined.
+				wait(ctx, m.jitter(delays.NextBackOff()), nil)
+				continue
 			}
+			delays.Reset()
 		}
 		if m.cfg.Replica.MayDecide() && m.join(ctx) {
 			joinedAt = time.Now()
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -42,7 +42,15 @@
 
 var incarnationCount atomic.Uint64
 
+// startNode starts a process. It ends the one that has the address, since only one process can listen
+// there.
 func (sim *simulation) startNode(instance, dc, addr string) *node {
+	sim.mu.Lock()
+	before := sim.nodes[addr]
+	sim.mu.Unlock()
+	if before != nil {
+		before.kill()
+	}
 	n := &node{sim: sim, instance: instance, dc: dc, addr: addr}
 	sim.mu.Lock()
 	n.rand = rand.New(rand.NewPCG(sim.rand.Uint64(), 2))
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -141,3 +141,23 @@
 		is.Equal(other.View().Members.Len(), 10)
 	}, 4, 4, 4)
 }
+
+// TestTwoProcessesOfOneInstance guards against two processes with one instance id (F3) that replace each
+// other as fast as they can append, and so fill the control stream with joins.
+func TestTwoProcessesOfOneInstance(t *testing.T) {
+	is := is.New(t)
+	runFleet(t, func(_ context.Context, sim *simulation) {
+		before := sim.nodes["b0"].replica.View().Offset
+		sim.startNode("a1", "a", "a1-second")
+		time.Sleep(time.Minute)
+		// Each waits 0.25 to 0.75 s at first and 7.5 to 22.5 s in the end.
+		appended := sim.nodes["b0"].replica.View().Offset - before
+		is.True(appended >= 3)
+		is.True(appended <= 40)
+		is.Equal(len(sim.history.check()), 0)
+		is.True(sim.nodes["a0"].replica.MayWork())
+		sim.nodes["a1-second"].kill()
+		time.Sleep(time.Minute)
+		is.True(sim.nodes["a1"].replica.MayWork())
+	}, 3, 3)
+}
