--- a/internal/entryrpc/quota_test.go
+++ b/internal/entryrpc/quota_test.go
@@ -40,7 +40,7 @@
 	client, err := NewClient("borrower", func() *fleet.View { return view })
 	check.NoErr(err)
 
-	r := tokenquota.NewRequest(admission.Ask{Tokens: 700, Urgency: 2, Digest: 1 << 63, Longest: time.Second})
+	r := tokenquota.NewRequest(admission.Ask{Tokens: 700, Urgency: 2, Digest: 1 << 63, Longest: time.Second, Returns: 2 * time.Second})
 	check.Equal(newQuotaAsk(r.Ask).ask(), r.Ask)
 	r.Urgency = 0 // so that the tokens spent above have no reserve
 	holders := tokenquota.HolderList{All: []string{"holder", "gone"}, First: []string{"gone", "holder"}}
--- a/internal/tokenquota/booking_test.go
+++ b/internal/tokenquota/booking_test.go
@@ -115,6 +115,31 @@
 	}
 }
 
+// TestBookingOfLateCaller guards against tokens that are kept for a caller who has come back and is refused
+// again: callers come back once, and nobody else would get the tokens.
+func TestBookingOfLateCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		g := newLimiterGroup(4, 0, testBounds, teamConfig(29000, 68873))
+		withStore(t, g.limiters...)
+		useSteadily(t, g, 60000, 9*time.Second)
+		for take(g.limiters[0], 100).Allowed {
+			continue
+		}
+		admit := func(digest uint64, returns time.Duration) Decision {
+			d := g.limiters[0].Admit(t.Context(), "t", NewRequest(admission.Ask{Tokens: 9245, Digest: digest, Returns: returns}))
+			_ = g.limiters[0].ReturnLoans(t.Context(), "t", d.Loans)
+			check.True(!d.Allowed)
+			return d
+		}
+		d := admit(17, time.Millisecond)
+		check.True(!d.Booked && d.Wait >= testBounds.Window) // not told a time at which nothing is kept for it
+		d = admit(17, 5*time.Second)
+		check.True(!d.Booked && d.Promised.Known)
+		check.True(admit(18, 5*time.Second).Booked) // negative control
+	})
+}
+
 // TestLostBookAnswer guards against loans that are returned twice, since the answer to the call that
 // returned them is lost: that would give tokens out twice.
 func TestLostBookAnswer(t *testing.T) {
