Let only requests that can wait yield to more urgent ones

Cause: standard requests of 9,000 tokens with an objective of 0.8 s yielded to refused chats, and premium ones, which come back later, took the tokens. Change: a request yields only if it can still be served within its objective after that.

--- a/internal/admission/refusals.go
+++ b/internal/admission/refusals.go
@@ -47,3 +47,8 @@
 	}
 	return sum
 }
+
+// MayYield reports whether a request can be served within its objective after it has left what is free to more
+// urgent ones. Of others, those between the most urgent and the least urgent route would be served least: they
+// yield to the first, and the last come back later.
+func (a Ask) MayYield() bool { return a.Longest > refusalMemory }
--- a/internal/tokenquota/contention.go
+++ b/internal/tokenquota/contention.go
@@ -41,7 +41,10 @@
 	if due {
 		except = r.Digest
 	} else {
-		rate, before = l.reserveRate(q, r.Ask, false, now), l.refusedBefore(q, r.Ask, now)
+		rate = l.reserveRate(q, r.Ask, false, now)
+		if r.MayYield() {
+			before = l.refusedBefore(q, r.Ask, now)
+		}
 	}
 	if before == 0 && !q.contention.ledger.Booked() && unspent-r.Missing >= admission.Reserve(rate, l.window()+loanTTL) {
 		return unspent
