--- a/internal/modelplacement/next.go
+++ b/internal/modelplacement/next.go
@@ -178,12 +178,12 @@
 
 func compareVictims(a, b victim) int {
 	return cmp.Or(
-		cmp.Compare(min(1, a.usage.InFlight), min(1, b.usage.InFlight)), compareBool(a.lastCopy, b.lastCopy),
+		cmp.Compare(min(1, a.usage.InFlight), min(1, b.usage.InFlight)), CompareBool(a.lastCopy, b.lastCopy),
 		cmp.Compare(a.demandPerCopy, b.demandPerCopy), a.usage.LastUsed.Compare(b.usage.LastUsed), cmp.Compare(a.name, b.name))
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
+// CompareBool orders false before true.
+func CompareBool(a, b bool) int {
 	switch {
 	case a == b:
 		return 0
--- a/internal/upstream/displacement.go
+++ b/internal/upstream/displacement.go
@@ -22,19 +22,7 @@
 
 // compare orders displacements by what they cost.
 func (d displacement) compare(o displacement) int {
-	return cmp.Or(compareBool(d.unloadsLast, o.unloadsLast), cmp.Compare(d.only, o.only), compareBool(d.unloads, o.unloads))
-}
-
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
+	return cmp.Or(modelplacement.CompareBool(d.unloadsLast, o.unloadsLast), cmp.Compare(d.only, o.only), modelplacement.CompareBool(d.unloads, o.unloads))
 }
 
 // displacement returns what a load of the model from the weight store costs at an engine.
