--- a/internal/engineagent/store_load_turn_test.go
+++ b/internal/engineagent/store_load_turn_test.go
@@ -48,12 +48,12 @@
 // TestLoadedModelKept guards against a model that is unloaded right after it was loaded, since the entry
 // instances report no demand for it yet: a load from the weight store of 25 s was lost in this way.
 func TestLoadedModelKept(t *testing.T) {
-	runAgent(t, newFakeEngine("a", "b"), 1, func(check *is.I, a *Agent) {
-		_, _ = a.ServeEnsure(context.Background(), agentapi.EnsureRequest{Model: "c", Background: true, ExpectedDemand: 9})
+	runAgent(t, newFakeEngine("b", "c"), 1, func(check *is.I, a *Agent) {
+		_, _ = a.ServeEnsure(context.Background(), agentapi.EnsureRequest{Model: "a", Background: true, ExpectedDemand: 9})
 		time.Sleep(time.Second)
-		check.True(a.isLoaded("c", ""))
+		check.True(a.isLoaded("a", ""))
 		check.True(ensure(a, "d", "", 3*time.Second).Loaded)
-		check.True(a.isLoaded("c", ""))
+		check.True(a.isLoaded("a", "")) // of equal models, the first by name is unloaded
 	})
 }
 
--- a/internal/modelplacement/sizes_test.go
+++ b/internal/modelplacement/sizes_test.go
@@ -25,7 +25,9 @@
 	check := is.New(t)
 	h := holdings("small", "large", "large2")
 	h.OnDisk = []string{"small", "large", "large2", "large3"}
-	in := Input{Now: now, Engine: sizedEngine(0), Holdings: h, LoadRequests: []LoadRequest{{Model: "large3", Waiting: 1, Since: now.Add(-100 * time.Millisecond)}, {Model: "small", Demand: 5, Since: now}}}
+	e := sizedEngine(0)
+	e.MemoryMB = 85 // without the small model, it fits again
+	in := Input{Now: now, Engine: e, Holdings: h, LoadRequests: []LoadRequest{{Model: "large3", Waiting: 1, Since: now.Add(-100 * time.Millisecond)}, {Model: "small", Demand: 5, Since: now}}}
 	// The large models have running requests and may not be unloaded yet.
 	in.Usage = map[string]Usage{"large": {InFlight: 1, Demand: 1}, "large2": {InFlight: 1, Demand: 2}}
 	loads := 0
