Test that a stream which is read in several parts counts as one run

Cause: the rule that a run is counted once could be removed without a test that fails, since both events of the test arrive in one read. Change: a row with an event of 64 KiB.

--- a/internal/gateway/runs_test.go
+++ b/internal/gateway/runs_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"strings"
 	"sync"
 	"testing"
 
@@ -26,6 +27,8 @@
 // twice or not at all.
 func TestRunsCounted(t *testing.T) {
 	event := "id: e1\ndata: x\n\n"
+	// Events that do not fit into one read are relayed one after the other.
+	long := "id: e2\ndata: " + strings.Repeat("x", 64<<10) + "\n\n"
 	for _, row := range []struct {
 		name, path string
 		first      script
@@ -38,6 +41,7 @@
 		{"no response and retry", "/safe/", closeWithoutResponse, 1},
 		{"no response", "/once/", closeWithoutResponse, 0},
 		{"stream of several events", "/stream/", chunkedStream(true, event, event), 1},
+		{"stream that is read in parts", "/stream/", chunkedStream(true, event, long), 1},
 		{"stream without an event", "/stream/", chunkedStream(false, "id: e1\n"), 0},
 		{"resumed stream", "/resume/", chunkedStream(false, event), 2},
 		{"without a team", "/public/", respond(200, "ok"), 0},
