--- a/internal/engineagent/store_load_turn_test.go
+++ b/internal/engineagent/store_load_turn_test.go
@@ -11,7 +11,7 @@
 )
 
 // TestStoreLoadDeclined guards against a load from the weight store that an engine takes without being able to
-// begin it: the load waited up to 16 s for the engine's turn, while another engine could have begun it.
+// begin it: the load of a model in demand began 9 s late, at another engine.
 func TestStoreLoadDeclined(t *testing.T) {
 	storeLoad := func(a *Agent, model string) string {
 		r, _ := a.ServeEnsure(context.Background(), agentapi.EnsureRequest{Model: model, Background: true, FromStore: true, ExpectedDemand: 9})
--- a/internal/upstream/generation_test.go
+++ b/internal/upstream/generation_test.go
@@ -36,7 +36,7 @@
 }
 
 // TestSpeculativeStoreLoads guards against loads for models that nobody asks for which take all places at the
-// weight store: a model that a tenth of all callers asked for then took 25 s to load instead of 10.
+// weight store: a model that callers asked for then took 25 s to load instead of 10.
 func TestSpeculativeStoreLoads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		check := is.New(t)
