--- a/review/second/main.go
+++ b/review/second/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -22,6 +23,7 @@
 
 var cases = map[string]func(b *bed) (int, error){
 	"crash-reports": crashReports,
+	"refunds":       refunds,
 }
 
 // bed is a small deployment of entry instances without engines.
@@ -34,6 +36,10 @@
 	entries   []*entry
 	servers   []*server
 	recorder  *recorder
+
+	mu sync.Mutex
+	// sent has when each request was sent.
+	sent map[string]time.Time
 }
 
 func main() {
@@ -67,7 +73,7 @@
 		return cannotRun
 	}
 	defer os.RemoveAll(dir)
-	b := &bed{root: root, dir: dir, trouble: os.Getenv("TROUBLE") != "0", record: record, began: time.Now(), store: newStore(), recorder: &recorder{}}
+	b := &bed{root: root, dir: dir, trouble: os.Getenv("TROUBLE") != "0", record: record, began: time.Now(), store: newStore(), recorder: &recorder{}, sent: make(map[string]time.Time)}
 	code, err := run(b)
 	for _, e := range b.entries {
 		e.kill()
--- a/review/second/server.go
+++ b/review/second/server.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -15,6 +17,8 @@
 const (
 	crashPath     = "/status/crash"
 	crashDownTime = 3 * time.Second
+	// longPath is the path of requests that take long.
+	longPath = "/drafts/long"
 )
 
 // arrival is a request that reached a server.
@@ -24,6 +28,8 @@
 	id     string
 	path   string
 	status int // 0 if the server crashed
+	tenant string
+	tokens int
 }
 
 // recorder collects what the servers saw.
@@ -49,11 +55,18 @@
 	id, service, zone string
 	addr              string
 	work              time.Duration
-	recorder          *recorder
-	slots             chan struct{}
+	// longWork is the time of requests to longPath.
+	longWork time.Duration
+	// tellsRetryAfter tells that the server adds Retry-After when it is full: the seconds until it expects
+	// the next slot to be free, at least 1.
+	tellsRetryAfter bool
+	recorder        *recorder
+	slots           chan struct{}
 
 	mu   sync.Mutex
 	born int64
+	// ends are when the running requests end.
+	ends []time.Time
 	// crashes counts the crashes, and down tells that the server has not started again.
 	crashes int
 	down    bool
@@ -160,23 +173,57 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
+	in, out := 0, 0
+	_, _ = fmt.Sscanf(r.Header.Get("Jacinthbend-Token-Count"), "%d,%d", &in, &out)
+	a := arrival{at: time.Now(), server: own, id: id, path: r.URL.Path, tenant: r.Header.Get("Jacinthbend-Tenant"), tokens: in + out}
 	select {
 	case s.slots <- struct{}{}:
-	case <-time.After(200 * time.Millisecond):
-		s.recorder.add(arrival{time.Now(), own, id, r.URL.Path, http.StatusServiceUnavailable})
+	default:
+		a.status = http.StatusServiceUnavailable
+		s.recorder.add(a)
 		h.Set("Jacinthbend-Not-Executed", "1")
+		if s.tellsRetryAfter {
+			h.Set("Retry-After", strconv.Itoa(s.nextFree()))
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer func() { <-s.slots }()
-	began := time.Now()
 	if r.URL.Path == crashPath {
-		s.recorder.add(arrival{began, own, id, r.URL.Path, 0})
+		s.recorder.add(a)
 		s.crash(crashDownTime)
 		return
 	}
-	time.Sleep(s.work)
-	s.recorder.add(arrival{began, own, id, r.URL.Path, http.StatusOK})
+	a.status = http.StatusOK
+	s.recorder.add(a)
+	work := s.work
+	if r.URL.Path == longPath {
+		work = s.longWork
+	}
+	s.runFor(work)
 	h.Set("Jacinthbend-Server-Stamp", "stamp-"+own+"-"+id)
 	_, _ = io.WriteString(w, "answer of "+own+" to "+id)
 }
+
+// runFor works on a request for d.
+func (s *server) runFor(d time.Duration) {
+	end := time.Now().Add(d)
+	s.mu.Lock()
+	s.ends = append(s.ends, end)
+	s.mu.Unlock()
+	time.Sleep(d)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ends = slices.DeleteFunc(s.ends, func(t time.Time) bool { return t.Equal(end) })
+}
+
+// nextFree returns in how many whole seconds a slot is free, at least 1.
+func (s *server) nextFree() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.ends) == 0 {
+		return 1
+	}
+	first := slices.MinFunc(s.ends, time.Time.Compare)
+	return max(1, int(time.Until(first)/time.Second))
+}
