--- a/review/second/refunds.go
+++ b/review/second/refunds.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"net/http"
@@ -23,8 +24,8 @@
 
 // Traffic, in requests a second. The tenant sends hotFactor times its usual from hotFrom to hotTo.
 const (
-	usualChats, usualDrafts = 2.0, 2.0
-	hotFactor               = 7.5
+	usualChats, usualDrafts = 2.5, 2.5
+	hotFactor               = 6.0
 	hotFrom, hotTo          = 6200 * time.Millisecond, 17 * time.Second
 	refundsEnd              = 20 * time.Second
 	// At batchAt, other users ask for a batch of long drafts at once, burstFactor times as many in a burst.
@@ -164,6 +165,9 @@
 		b.logf("\tserver %s runs %s at %.3f s, %d tokens", a.server, a.id, a.at.Sub(b.began).Seconds(), a.tokens)
 	}
 	b.logf("%d requests of the tenant ran", len(runs))
+	if len(runs) == 0 {
+		return cannotRun, errors.New("no request of the tenant ran")
+	}
 	b.logf("QUOTA, worst window: from %.3f s: %d tokens ran in 8 s, allowed %.0f", from.Sub(b.began).Seconds(), most, allowed)
 	if float64(most) > allowed {
 		return broken, nil
