Scripts exit with 2 where they can't run, and leave no process

A run whose node did not come back exited with 0, and a signal left the processes. Shown by one run each: no programs, a program that ends at once, SIGTERM in the middle.

--- a/review/second/crash_reports.go
+++ b/review/second/crash_reports.go
@@ -85,6 +85,11 @@
 			_ = b.send(b.entries[k%len(b.entries)], fmt.Sprintf("o%06x%02x", n, k), "/status/x", deadline)
 		}
 	}
+	for _, e := range b.entries {
+		if !e.isReady() {
+			return cannotRun, fmt.Errorf("%s is not ready at the end", e.name)
+		}
+	}
 	return b.judgeCrashes(touch)
 }
 
--- a/review/second/entry.go
+++ b/review/second/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -28,7 +29,8 @@
 
 	mu      sync.Mutex
 	process *exec.Cmd
-	started int
+	// stopped is set at the end of the case; nothing is started any more then.
+	stopped bool
 }
 
 // bounds are those of the site mugcraft-hq.
@@ -103,16 +105,26 @@
 	cmd := exec.Command(filepath.Join(root, "target/jacinthbend"), "serve", "--settings", e.settings)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = root, out, out
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GOMAXPROCS=1"}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stopped {
+		return errors.New("the case is over")
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	e.mu.Lock()
 	e.process = cmd
-	e.started++
-	e.mu.Unlock()
 	return nil
 }
 
+// stop ends the process for good.
+func (e *entry) stop() {
+	e.mu.Lock()
+	e.stopped = true
+	e.mu.Unlock()
+	e.kill()
+}
+
 // kill ends the process with SIGKILL.
 func (e *entry) kill() {
 	e.mu.Lock()
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -74,12 +76,12 @@
 	}
 	defer os.RemoveAll(dir)
 	b := &bed{root: root, dir: dir, trouble: os.Getenv("TROUBLE") != "0", record: record, began: time.Now(), store: newStore(), recorder: &recorder{}, sent: make(map[string]time.Time)}
-	code, err := run(b)
-	for _, e := range b.entries {
-		e.kill()
+	code, err := b.runUntilEnd(run)
+	for _, e := range b.started() {
+		e.stop()
 	}
 	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
-		for _, e := range b.entries {
+		for _, e := range b.started() {
 			if data, err := os.ReadFile(e.logPath); err == nil {
 				_ = os.WriteFile(filepath.Join(keep, e.name+".log"), data, 0o600)
 			}
@@ -93,6 +95,39 @@
 	return code
 }
 
+// caseLimit is the longest time of a case.
+const caseLimit = 110 * time.Second
+
+// runUntilEnd runs the case, and gives it up after caseLimit or at a signal to end.
+func (b *bed) runUntilEnd(run func(*bed) (int, error)) (int, error) {
+	type result struct {
+		code int
+		err  error
+	}
+	done := make(chan result, 1)
+	go func() {
+		code, err := run(b)
+		done <- result{code, err}
+	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	select {
+	case r := <-done:
+		return r.code, r.err
+	case s := <-signals:
+		return cannotRun, fmt.Errorf("ended by %v", s)
+	case <-time.After(caseLimit):
+		return cannotRun, fmt.Errorf("not over after %v", caseLimit)
+	}
+}
+
+// started returns the entry instances that were started.
+func (b *bed) started() []*entry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]*entry(nil), b.entries...)
+}
+
 // logf writes a line to the record and to standard output.
 func (b *bed) logf(format string, args ...any) {
 	line := fmt.Sprintf("%8.3f s  %s\n", time.Since(b.began).Seconds(), fmt.Sprintf(format, args...))
@@ -122,7 +157,9 @@
 		if e.storeAddr, err = b.startStore(); err != nil {
 			return err
 		}
+		b.mu.Lock()
 		b.entries = append(b.entries, e)
+		b.mu.Unlock()
 		if err := e.writeSettings(true); err != nil {
 			return err
 		}
