Check the status line of each response where it is read

A server sent an answer whose status was 000, and a client got it as an answer. Here the gateway skipped such a head as an informational response, so that the caller waited for its deadline, or got a body that begins inside the answer. Clients of other processes, of engines and of the store took it for a 200, since hertz takes 0 for an unset status.

Cause: each reader trusted its parser. net/http accepts any three digits, a sign included, and any version; hertz accepts any protocol, empty lines before the status line and a status of any length.

internal/strictconn is the connection below all parsers: the client for upstreams, the clients of internal/peer (instances, agents, engines, the store) and the client of the platform's duties. It follows the framing of responses and checks each status line byte by byte: HTTP/1.0 or 1.1 and a status from 100 to 599. A read fails at the first byte that is wrong, and nothing of the head is delivered. Hertz has no connection that can be put on another, so internal/peer has one; it replaces netpoll for streams. Each invalid response is counted in jacinthbend_invalid_responses_total and logged with address and reason.

A tab beside a length, which is sound and which hertz refuses, is accepted (one sound response that failed).

--- a/internal/peer/bounded_conn.go
+++ b/internal/peer/bounded_conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/tls"
-	"net"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/network"
@@ -20,31 +19,27 @@
 // connection.
 var ErrConnUnusable = errors.New("the connection has ended or has bytes that belong to no response")
 
-// surplusWait is how long a strict connection waits for bytes that belong to no response.
-// Bytes that have arrived are there at once.
-const surplusWait = 100 * time.Microsecond
-
 // boundedDialer opens connections that limit the length of each response.
 type boundedDialer struct {
-	network.Dialer
+	responseDialer
 	// strict makes the connections check for bytes that belong to no response.
 	strict bool
 }
 
 // DialConnection implements network.Dialer.
 func (d boundedDialer) DialConnection(network, addr string, timeout time.Duration, c *tls.Config) (network.Conn, error) {
-	conn, err := d.Dialer.DialConnection(network, addr, timeout, c)
+	conn, err := d.responseDialer.DialConnection(network, addr, timeout, c)
 	if err != nil {
 		return nil, err
 	}
-	return &boundedConn{Conn: conn, strict: d.strict}, nil
+	return &boundedConn{responseConn: conn.(*responseConn), strict: d.strict}, nil
 }
 
 // boundedConn fails reads once the response to the last request is longer than
 // maxResponseBytes, its header longer than maxHeaderBytes, or in too many chunks. Hertz limits
 // only the body of a response.
 type boundedConn struct {
-	network.Conn
+	*responseConn
 	// consumed is how many bytes of the response were read.
 	consumed int
 	// peeks is how often hertz has waited for more bytes since it last read any. For a
@@ -73,25 +68,15 @@
 
 // Flush sends a request, after which a new response is due.
 func (c *boundedConn) Flush() error {
-	if c.strict && c.used && c.hasSurplus() {
+	if c.strict && c.used && !c.idle() {
 		return ErrConnUnusable
 	}
 	c.consumed, c.peeks, c.chunkSizes, c.used = 0, 0, 0, true
-	return c.Conn.Flush()
-}
-
-// hasSurplus reports whether the connection has unread bytes, or has ended.
-func (c *boundedConn) hasSurplus() bool {
-	if c.Conn.SetReadTimeout(surplusWait) != nil {
-		return true
-	}
-	_, err := c.Conn.Peek(1)
-	var timeout net.Error
-	return err == nil || !(errors.As(err, &timeout) && timeout.Timeout())
+	return c.responseConn.Flush()
 }
 
 func (c *boundedConn) check() error {
-	if c.consumed+c.Conn.Len() > maxResponseBytes {
+	if c.consumed+c.responseConn.Len() > maxResponseBytes {
 		return errResponseTooLong
 	}
 	return nil
@@ -100,7 +85,7 @@
 // Peek implements network.Reader. It never fails for bytes that Len reports; hertz
 // panics otherwise.
 func (c *boundedConn) Peek(n int) ([]byte, error) {
-	if n > c.Conn.Len() {
+	if n > c.responseConn.Len() {
 		c.peeks++
 		if n > maxHeaderBytes && c.peeks > 1 || c.peeks > maxPeeks {
 			return nil, errHeadTooLong
@@ -109,13 +94,13 @@
 			return nil, err
 		}
 	}
-	return c.Conn.Peek(n)
+	return c.responseConn.Peek(n)
 }
 
 // Skip implements network.Reader.
 func (c *boundedConn) Skip(n int) error {
 	c.consume(n)
-	return c.Conn.Skip(n)
+	return c.responseConn.Skip(n)
 }
 
 // Read implements net.Conn.
@@ -123,7 +108,7 @@
 	if err := c.check(); err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Read(p)
+	n, err := c.responseConn.Read(p)
 	c.consume(n)
 	return n, err
 }
@@ -137,7 +122,7 @@
 		return 0, errTooManyChunks
 	}
 	c.consume(1)
-	return c.Conn.ReadByte()
+	return c.responseConn.ReadByte()
 }
 
 // ReadBinary implements network.Reader.
@@ -146,13 +131,5 @@
 		return nil, err
 	}
 	c.consume(n)
-	return c.Conn.ReadBinary(n)
-}
-
-// ToHertzError implements network.ErrorNormalization.
-func (c *boundedConn) ToHertzError(err error) error {
-	if n, ok := c.Conn.(network.ErrorNormalization); ok {
-		return n.ToHertzError(err)
-	}
-	return err
+	return c.responseConn.ReadBinary(n)
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -9,8 +9,6 @@
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/network/netpoll"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/cloudwego/hertz/pkg/protocol/http1"
@@ -48,18 +46,16 @@
 // stream is set, response bodies are streamed instead of buffered and not limited.
 func NewHTTPClient(readTimeout time.Duration, stream bool) (*client.Client, error) {
 	if stream {
-		return newHTTPClient(netpoll.NewDialer(), readTimeout, stream)
+		return newHTTPClient(responseDialer{perRead: true}, readTimeout, stream)
 	}
-	// A connection of netpoll reads ahead of its consumer without a limit.
-	return newHTTPClient(boundedDialer{Dialer: standard.NewDialer()}, readTimeout, stream)
+	return newHTTPClient(boundedDialer{}, readTimeout, stream)
 }
 
 // NewStrictHTTPClient returns a client like NewHTTPClient without streams that does not send a
 // request on a connection on which bytes have arrived that belong to no response, such as a
-// second copy of the last one. The call fails with ErrConnUnusable instead. Looking for such
-// bytes takes up to surplusWait for each request.
+// second copy of the last one. The call fails with ErrConnUnusable instead.
 func NewStrictHTTPClient(readTimeout time.Duration) (*client.Client, error) {
-	return newHTTPClient(boundedDialer{Dialer: standard.NewDialer(), strict: true}, readTimeout, false)
+	return newHTTPClient(boundedDialer{strict: true}, readTimeout, false)
 }
 
 func newHTTPClient(dialer network.Dialer, readTimeout time.Duration, stream bool) (*client.Client, error) {
--- /dev/null
+++ b/internal/strictconn/framing.go
@@ -0,0 +1,77 @@
+package strictconn
+
+import (
+	"strconv"
+	"strings"
+)
+
+// framingField is a field that says where a body ends.
+type framingField int
+
+const (
+	otherField framingField = iota
+	lengthField
+	codingField
+)
+
+// maxFramingValue limits the value of a framing field, blanks included.
+const maxFramingValue = 64
+
+// framing is what the fields of a head say about the end of the body.
+type framing struct {
+	// length is the stated length, if hasLength is set.
+	length             int64
+	hasLength, chunked bool
+
+	// current is the field whose value is being read.
+	current framingField
+	value   []byte
+}
+
+// begin begins the value of the field with the given name in lower case.
+func (f *framing) begin(name string, part Part) error {
+	f.current, f.value = otherField, f.value[:0]
+	switch name {
+	case "content-length":
+		f.current = lengthField
+	case "transfer-encoding":
+		f.current = codingField
+	default:
+		return nil
+	}
+	if part == Trailer {
+		f.current = otherField
+	}
+	return nil
+}
+
+func (f *framing) addToValue(b byte) {
+	if f.current != otherField && len(f.value) <= maxFramingValue {
+		f.value = append(f.value, b)
+	}
+}
+
+// end takes the value of the field.
+func (f *framing) end() error {
+	value := strings.Trim(string(f.value), " \t")
+	switch f.current {
+	case lengthField:
+		length, err := strconv.ParseUint(value, 10, 64)
+		if err != nil || len(f.value) > maxFramingValue || length > maxBodyBytes {
+			return nil
+		}
+		if f.hasLength && f.length != int64(length) {
+			return nil
+		}
+		f.length, f.hasLength = int64(length), true
+	case codingField:
+		if f.chunked || len(f.value) > maxFramingValue || !strings.EqualFold(value, "chunked") {
+			return nil
+		}
+		f.chunked = true
+	case otherField:
+	}
+	return nil
+}
+
+func isInterim(status int) bool { return status < 200 }
--- a/internal/telemetry/health.go
+++ b/internal/telemetry/health.go
@@ -11,6 +11,7 @@
 
 	"github.com/jacinthbend/jacinthbend/internal/background"
 	"github.com/jacinthbend/jacinthbend/internal/peer"
+	"github.com/jacinthbend/jacinthbend/internal/strictconn"
 )
 
 // Register adds /metrics, /healthz (the process runs) and /readyz (it takes
@@ -21,6 +22,7 @@
 		set.WritePrometheus(&buf)
 		peer.Stats.WritePrometheus(&buf)
 		background.Stats.WritePrometheus(&buf)
+		strictconn.Stats.WritePrometheus(&buf)
 		metrics.WriteProcessMetrics(&buf)
 		c.Data(consts.StatusOK, "text/plain; version=0.0.4", buf.Bytes())
 	})
--- a/internal/upstreamclient/client.go
+++ b/internal/upstreamclient/client.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jacinthbend/jacinthbend/internal/background"
+	"github.com/jacinthbend/jacinthbend/internal/strictconn"
 )
 
 // Limits of connections.
@@ -34,12 +35,6 @@
 	// maxStrayResponses is how many responses to other requests are skipped before
 	// the exchange fails.
 	maxStrayResponses = 3
-	// maxHeadBytes bounds the status line and header of a response. Upstreams in use
-	// send less than 1 KiB.
-	maxHeadBytes = 64 << 10
-	// maxHeadLines bounds the lines of a head, because net/http takes many times the bytes of short
-	// lines while it parses them: 230 to 640 KiB for 40 KiB in lines of 6 bytes.
-	maxHeadLines = 256
 	// maxDiscardedBytes and discardTimeout bound the rest of a response that nobody
 	// needs. Reading it saves a new connection, which is worth less than either.
 	maxDiscardedBytes = 64 << 10
@@ -93,7 +88,7 @@
 	cn.lastID = r.ID
 	resp, err := c.roundTrip(ctx, cn, addr, r)
 	if err != nil {
-		cn.abort()
+		cn.Abort()
 		return nil, err
 	}
 	return resp, nil
@@ -102,7 +97,7 @@
 func (c *Client) roundTrip(ctx context.Context, cn *conn, addr string, r *Request) (*Response, error) {
 	// Closing the connection is the only way to end a blocked read at once. It also
 	// tells the upstream to stop.
-	stopAbort := context.AfterFunc(ctx, cn.abort)
+	stopAbort := context.AfterFunc(ctx, cn.Abort)
 	written := make(chan error, 1)
 	if err := cn.send(r, written); err != nil {
 		stopAbort()
@@ -145,7 +140,11 @@
 func (c *Client) readResponse(cn *conn, r *Request) (*http.Response, error) {
 	for range maxStrayResponses + 1 {
 		if _, err := cn.r.Peek(1); err != nil {
-			return nil, &Failure{NoResponse, err}
+			stage := NoResponse
+			if strictconn.IsInvalid(err) {
+				stage = BadResponse
+			}
+			return nil, &Failure{stage, err}
 		}
 		resp, err := cn.readHead(r.Method)
 		if err != nil {
@@ -178,7 +177,7 @@
 		}
 		_ = cn.Close()
 	}
-	raw, err := c.dialer.DialContext(ctx, "tcp", addr)
+	raw, err := strictconn.Dial(ctx, &c.dialer, addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
--- a/internal/upstreamclient/conn.go
+++ b/internal/upstreamclient/conn.go
@@ -3,13 +3,13 @@
 import (
 	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/jacinthbend/jacinthbend/internal/strictconn"
 )
 
 // Sizes of a connection's buffers. An event of a stream has a few hundred bytes.
@@ -20,11 +20,9 @@
 
 // conn is a connection to an upstream. It carries one request at a time.
 type conn struct {
-	net.Conn
-	// in bounds what r reads from the connection.
-	in *limitedReader
-	r  *bufio.Reader
-	w  *bufio.Writer
+	*strictconn.Conn
+	r *bufio.Reader
+	w *bufio.Writer
 	// lastID is the id of the last request on the connection.
 	lastID string
 	// idleSince is when the last response was complete.
@@ -33,15 +31,12 @@
 	idleTimeout time.Duration
 }
 
-func newConn(c net.Conn) *conn {
-	in := &limitedReader{r: c}
-	return &conn{Conn: c, in: in, r: bufio.NewReaderSize(in, readBufferBytes), w: bufio.NewWriterSize(c, writeBufferBytes)}
+func newConn(c *strictconn.Conn) *conn {
+	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBufferBytes), w: bufio.NewWriterSize(c, writeBufferBytes)}
 }
 
 // readHead reads the status line and header of a response.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.in.limitHead()
-	defer c.in.unlimit()
 	return http.ReadResponse(c.r, &http.Request{Method: method})
 }
 
@@ -71,39 +66,11 @@
 	return max(defaultMaxIdle, c.idleTimeout-idleTimeoutMargin)
 }
 
-// alive reports whether an idle connection is open and has no unread bytes. Bytes
-// that arrived while it was idle belong to no request.
-func (c *conn) alive() bool {
-	if c.r.Buffered() > 0 {
-		return false
-	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	alive := false
-	var buf [1]byte
-	err = raw.Control(func(fd uintptr) {
-		_, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		alive = errors.Is(err, unix.EAGAIN)
-	})
-	return err == nil && alive
-}
+// hasUnread reports whether bytes follow the last response. They belong to no request.
+func (c *conn) hasUnread() bool { return c.r.Buffered() > 0 || c.HasUnread() }
 
-// abort closes a connection with an unfinished request by a TCP reset, which drops
-// bytes of the request that are still buffered or in flight. After an ordinary
-// close they could still reach the upstream, at any later time.
-func (c *conn) abort() {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		// If SetLinger fails, the close is an ordinary one, which is acceptable.
-		_ = t.SetLinger(0)
-	}
-	_ = c.Close()
-}
+// alive reports whether an idle connection is open and has no unread bytes.
+func (c *conn) alive() bool { return c.r.Buffered() == 0 && c.Idle() }
 
 // Socket options of connections to upstreams.
 const (
--- a/internal/upstreamclient/endless_test.go
+++ b/internal/upstreamclient/endless_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/jacinthbend/jacinthbend/internal/strictconn"
 )
 
 const (
@@ -66,7 +68,7 @@
 	for _, row := range []struct {
 		lines int
 		ok    bool
-	}{{maxHeadLines - 4, true}, {16 << 10 / len("X: x\r\n"), false}} {
+	}{{strictconn.MaxLines - 4, true}, {16 << 10 / len("X: x\r\n"), false}} {
 		check := is.New(t)
 		u := startUpstream(t, func(w io.Writer, _, _ int) bool {
 			_, err := io.WriteString(w, "HTTP/1.1 200 OK\r\n"+strings.Repeat("X: x\r\n", row.lines)+idHeader+": r\r\nContent-Length: 0\r\n\r\n")
@@ -79,7 +81,7 @@
 			resp.Close(true)
 			continue
 		}
-		check.True(errors.Is(err, errTooManyHeadLines))
+		check.True(errors.Is(err, strictconn.ErrTooManyLines))
 	}
 }
 
--- a/internal/upstreamclient/fuzz_test.go
+++ b/internal/upstreamclient/fuzz_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/jacinthbend/jacinthbend/internal/strictconn"
 )
 
 // byteConn is a connection on which the peer has sent bytes and closed.
@@ -15,8 +17,9 @@
 	r io.Reader
 }
 
-func (c byteConn) Read(p []byte) (int, error)    { return c.r.Read(p) }
-func (byteConn) SetReadDeadline(time.Time) error { return nil }
+func (c byteConn) Read(p []byte) (int, error)     { return c.r.Read(p) }
+func (byteConn) SetReadDeadline(time.Time) error  { return nil }
+func (byteConn) SetWriteDeadline(time.Time) error { return nil }
 
 // FuzzResponse guards against bytes of an upstream that end the process, and against a
 // response to another request that is taken for the expected one.
@@ -31,7 +34,7 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		c := NewClient(func(h http.Header) (string, time.Duration) { return h.Get(idHeader), 0 })
-		resp, err := c.readResponse(newConn(byteConn{r: bytes.NewReader(data)}), testRequest("r"))
+		resp, err := c.readResponse(newConn(strictconn.New(byteConn{r: bytes.NewReader(data)}, "upstream")), testRequest("r"))
 		if err != nil {
 			return
 		}
--- a/internal/upstreamclient/response.go
+++ b/internal/upstreamclient/response.go
@@ -32,7 +32,7 @@
 func (r *Response) Close(complete bool) {
 	running := r.stopAbort()
 	reuse := complete && running && !r.mustClose && r.requestWritten()
-	if reuse && r.conn.r.Buffered() == 0 {
+	if reuse && !r.conn.hasUnread() {
 		r.client.putIdle(r.addr, r.conn)
 		return
 	}
@@ -40,7 +40,7 @@
 		_ = r.conn.Close()
 		return
 	}
-	r.conn.abort()
+	r.conn.Abort()
 }
 
 // Discard ends an exchange whose body nobody needs. It keeps the connection if the
