Reject responses whose length or chunks are invalid

A body could end where its server had not ended it. Hertz took the last of several lengths and any coding for chunks, a length that is no number for none, and chunks in HTTP/1.0 for chunks; net/http dropped a length beside chunks, accepted a control byte in the line of a chunk, and passed on a 204 that has a body.

Cause: the framing was taken from what each parser made of it.

internal/strictconn now fails for each length that is not one number, for codings other than one "chunked", for both together, for chunks in HTTP/1.0, for a 204 with a body, and for lines of chunks that RFC 9112, 7.1 does not allow. Equal lengths in several fields stay valid.

--- a/internal/strictconn/body.go
+++ b/internal/strictconn/body.go
@@ -47,8 +47,7 @@
 		}
 		done, err = b.chunks.add(p[n])
 		if err != nil {
-			b.kind = untilEnd
-			return len(p), false, nil
+			return n, false, err
 		}
 		n++
 		if b.chunks.state == chunkData {
--- a/internal/strictconn/framing.go
+++ b/internal/strictconn/framing.go
@@ -58,15 +58,15 @@
 	case lengthField:
 		length, err := strconv.ParseUint(value, 10, 64)
 		if err != nil || len(f.value) > maxFramingValue || length > maxBodyBytes {
-			return nil
+			return invalid(Framing, "Content-Length %q", value)
 		}
 		if f.hasLength && f.length != int64(length) {
-			return nil
+			return invalid(Framing, "two lengths, %d and %d", f.length, length)
 		}
 		f.length, f.hasLength = int64(length), true
 	case codingField:
 		if f.chunked || len(f.value) > maxFramingValue || !strings.EqualFold(value, "chunked") {
-			return nil
+			return invalid(Framing, "Transfer-Encoding other than one \"chunked\": %q", value)
 		}
 		f.chunked = true
 	case otherField:
@@ -74,4 +74,17 @@
 	return nil
 }
 
+// check checks the fields together with the status line.
+func (f *framing) check(l *statusLine) error {
+	switch {
+	case f.chunked && f.hasLength:
+		return invalid(Framing, "a length and chunks")
+	case f.chunked && l.minor == 0:
+		return invalid(Framing, "chunks in HTTP/1.0")
+	case l.status == 204 && (f.chunked || f.length > 0):
+		return invalid(Framing, "a body after status %d", l.status)
+	}
+	return nil
+}
+
 func isInterim(status int) bool { return status < 200 }
--- a/internal/strictconn/head.go
+++ b/internal/strictconn/head.go
@@ -21,7 +21,10 @@
 		h.lineDone, err = h.line.add(b)
 		return false, err
 	}
-	return h.fields.add(b)
+	if done, err = h.fields.add(b); !done || err != nil {
+		return false, err
+	}
+	return true, h.fields.framing.check(&h.line)
 }
 
 // body returns the body that follows the head of the response to a HEAD request or to another.
