Reject responses whose header fields are invalid

A server sent a head in which the name of a field held a blank or a control byte, and a client got it as an answer, with that line passed on or with a body that was not the server's. Here the gateway took a name with a blank and sent the answer on without that line, which hertz drops while it writes; "Content-Length : 5" stated no length, so that the caller waited for its deadline. The clients of other processes took control bytes, too.

Cause: net/http keeps blanks in names as they are and joins folded lines; hertz accepts each byte but a line end in a name, and control bytes in values.

internal/strictconn now fails at the first byte that RFC 9110, 5 does not allow in a name (token) or a value (no control bytes but tabs), at folded lines, lines without a colon and empty names.

--- a/internal/responsetest/response.go
+++ b/internal/responsetest/response.go
@@ -42,5 +42,8 @@
 // statusLine returns a response that is complete but for its status line.
 func statusLine(line string) string { return line + "\r\n" + fieldsMark + sized }
 
+// header returns a complete response with a further header line, or part of one.
+func header(line string) string { return ok + line + "\r\n" + sized }
+
 // framing returns a response with the given fields instead of a Content-Length.
 func framing(fields, body string) string { return ok + fields + "\r\n\r\n" + body }
--- a/internal/responsetest/sound.go
+++ b/internal/responsetest/sound.go
@@ -11,6 +11,9 @@
 	{"no reason", statusLine("HTTP/1.1 200 "), KeepOpen},
 	{"no blank after the status", statusLine("HTTP/1.1 200"), KeepOpen},
 	{"reason above ASCII", statusLine("HTTP/1.1 200 \xc3\xa4"), KeepOpen},
+	{"empty value", header("X:"), KeepOpen},
+	{"value above ASCII", header("X: \xe4\xff"), KeepOpen},
 	{"blanks and tabs around values", framing("X: \t a\tb \t\r\nContent-Length:\t7 ", Body), KeepOpen},
 	{"one length twice", framing("Content-Length: 7\r\nContent-Length: 7", Body), KeepOpen},
+	{"all characters of a name", header("a!#$%&'*+-.^_`|~09: z"), KeepOpen},
 }
--- a/internal/strictconn/conn_test.go
+++ b/internal/strictconn/conn_test.go
@@ -174,7 +174,7 @@
 		return Stats.GetOrCreateCounter(`jacinthbend_invalid_responses_total{part="` + part + `"}`).Get()
 	}
 	for part, data := range map[string]string{
-		"status_line": "HTTP/1.1 000 x\r\n\r\n", "framing": "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+		"status_line": "HTTP/1.1 000 x\r\n\r\n", "header": "HTTP/1.1 200 OK\r\nX Y: z\r\n\r\n", "framing": "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
 		"chunk":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx",
 		"trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nx\r\n\r\n", "end": "HTTP/1.1 200 OK\r\n",
 	} {
--- a/internal/strictconn/field_lines.go
+++ b/internal/strictconn/field_lines.go
@@ -1,5 +1,7 @@
 package strictconn
 
+import "strings"
+
 // lineState is where in a field line a scanner is.
 type lineState int
 
@@ -38,6 +40,8 @@
 			f.state = valueCR
 		case b == '\n':
 			return false, f.endLine()
+		case !isText(b):
+			return false, invalid(f.part, "byte %q in the value of a field", b)
 		default:
 			f.framing.addToValue(b)
 		}
@@ -63,8 +67,7 @@
 	case '\n':
 		return true, nil
 	case ' ', '\t':
-		f.framing.current, f.state = otherField, inValue
-		return false, nil
+		return false, invalid(f.part, "a line that begins with a blank")
 	}
 	f.nameLen, f.state = 0, inName
 	return false, f.addToName(b)
@@ -77,6 +80,8 @@
 		return f.framing.begin(string(f.name[:min(f.nameLen, len(f.name))]), f.part)
 	case b == '\r' || b == '\n':
 		return invalid(f.part, "a line without a colon")
+	case !isTokenByte(b):
+		return invalid(f.part, "byte %q in the name of a field", b)
 	}
 	if f.nameLen < len(f.name) {
 		if b >= 'A' && b <= 'Z' {
@@ -95,3 +100,8 @@
 	}
 	return f.framing.end()
 }
+
+// isTokenByte reports whether b may be in the name of a field (tchar of RFC 9110, 5.6.2).
+func isTokenByte(b byte) bool {
+	return b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
