Check interim responses and keep them from parsers

Hertz skips one 100 and takes any other interim response for the answer: a call to another process whose peer sent 103, or 100 and 102, failed, and the answer itself stayed on the connection. The client for upstreams read the fields of interim responses without checking them, and took a 101 for an interim response although it had asked for no upgrade.

Cause: interim responses were left to the parsers and to a loop in one reader.

internal/strictconn checks their heads as it does others and delivers none. A 101, and an interim response with a length or chunks, is invalid. The limit of a head counts them in; before, the client for upstreams allowed three. An end after an interim response is no orderly end.

--- a/internal/responsetest/invalid.go
+++ b/internal/responsetest/invalid.go
@@ -22,6 +22,12 @@
 	{"bytes that are no response", "\x00\xff\x16\x03\x01", KeepOpen},
 	{"part of a status line", "HTTP/1.1 0", KeepOpen},
 
+	{"interim 101", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + ok + sized, KeepOpen},
+	{"interim with a blank in a name", "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + ok + sized, KeepOpen},
+	{"interim with a length", "HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\nab" + ok + sized, KeepOpen},
+	{"interim in chunks", "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + ok + sized, KeepOpen},
+	{"interim and the end", "HTTP/1.1 103 Early Hints\r\n\r\n", Close},
+
 	{"blank in a name", header("X Y: z"), KeepOpen},
 	{"blank before the colon", header("X : z"), KeepOpen},
 	{"tab before the colon", header("X\t: z"), KeepOpen},
--- a/internal/strictconn/conn.go
+++ b/internal/strictconn/conn.go
@@ -28,7 +28,7 @@
 	start, end int
 	// checked is the end of the part of the current head that was checked.
 	checked int
-	// headBytes is the length of the current head.
+	// headBytes is the length of the current head and the interim responses before it.
 	headBytes int
 	head      head
 	// body is the body of the current response, if inBody is set.
@@ -113,8 +113,13 @@
 
 // endHead handles a complete head.
 func (c *Conn) endHead() {
+	status := c.head.line.status
 	received := c.buf[c.start:c.checked]
 	c.start = c.checked
+	if isInterim(status) {
+		c.head.reset()
+		return
+	}
 	c.body, c.inBody = c.head.body(c.requests.toHead.Load()), true
 	c.ready = received
 	if c.body.kind == sized && c.body.left == 0 {
--- a/internal/strictconn/doc.go
+++ b/internal/strictconn/doc.go
@@ -6,4 +6,5 @@
 // Invariants:
 //   - No byte of a head is delivered before all of it is valid.
 //   - io.EOF is returned only between responses, or at the orderly end of a body without a length.
+//   - Interim responses (1xx) are checked and never delivered.
 package strictconn
--- a/internal/strictconn/framing.go
+++ b/internal/strictconn/framing.go
@@ -81,8 +81,10 @@
 		return invalid(Framing, "a length and chunks")
 	case f.chunked && l.minor == 0:
 		return invalid(Framing, "chunks in HTTP/1.0")
-	case l.status == 204 && (f.chunked || f.length > 0):
+	case (isInterim(l.status) || l.status == 204) && (f.chunked || f.length > 0):
 		return invalid(Framing, "a body after status %d", l.status)
+	case l.status == 101:
+		return invalid(StatusLine, "status 101, but no upgrade was requested")
 	}
 	return nil
 }
--- a/internal/strictconn/head.go
+++ b/internal/strictconn/head.go
@@ -31,7 +31,7 @@
 func (h *head) body(toHead bool) body {
 	f := &h.fields.framing
 	switch {
-	case toHead || isInterim(h.line.status) || h.line.status == http.StatusNoContent || h.line.status == http.StatusNotModified:
+	case toHead || h.line.status == http.StatusNoContent || h.line.status == http.StatusNotModified:
 		return body{kind: sized}
 	case f.chunked:
 		return body{kind: inChunks}
--- a/internal/upstreamclient/client.go
+++ b/internal/upstreamclient/client.go
@@ -135,8 +135,7 @@
 }
 
 // readResponse reads the header of the response to r and leaves the body unread. It
-// skips informational responses and up to maxStrayResponses responses to other
-// requests.
+// skips up to maxStrayResponses responses to other requests.
 func (c *Client) readResponse(cn *conn, r *Request) (*http.Response, error) {
 	for range maxStrayResponses + 1 {
 		if _, err := cn.r.Peek(1); err != nil {
@@ -150,9 +149,6 @@
 		if err != nil {
 			return nil, &Failure{BadResponse, err}
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
 		id, idleTimeout := c.parseHeader(resp.Header)
 		if id == r.ID {
 			cn.idleTimeout = idleTimeout
