Deliver the end of a chunked body only with a valid trailer

A chunked answer that ended or was reset before the end of its trailer, or whose trailer was invalid, was taken for complete by the clients of other processes, engines and the store.

Cause: hertz takes any error at the start of a trailer for its end, and checks names in it as little as those in a head. net/http merges a length from a trailer into the trailer and waits for a CRLF where an LF stands.

internal/strictconn holds the bytes from the LF after the size of the last chunk until the trailer is valid, so that no parser can end a body without it. Lengths and codings in a trailer are invalid, and so is an LF without CR there.

--- a/internal/responsetest/response.go
+++ b/internal/responsetest/response.go
@@ -47,3 +47,6 @@
 
 // framing returns a response with the given fields instead of a Content-Length.
 func framing(fields, body string) string { return ok + fields + "\r\n\r\n" + body }
+
+// trailer returns a chunked response with a trailer line.
+func trailer(line string) string { return chunked + chunk + "0\r\n" + line + "\r\n\r\n" }
--- a/internal/responsetest/sound.go
+++ b/internal/responsetest/sound.go
@@ -5,6 +5,7 @@
 	{"length", ok + sized, KeepOpen},
 	{"chunks", chunked + "3\r\n{\"n\r\n4\r\n\":1}\r\n0\r\n\r\n", KeepOpen},
 	{"chunk size with zeros and capitals", framing("transfer-encoding: Chunked", "0007\r\n"+Body+"\r\n000\r\n\r\n"), KeepOpen},
+	{"trailer", trailer("X-Checksum: 1"), KeepOpen},
 	{"orderly end", ok + "\r\n" + Body, Close},
 	{"orderly end of HTTP/1.0", "HTTP/1.0 200 OK\r\n" + fieldsMark + "\r\n" + Body, Close},
 	{"length in HTTP/1.0", "HTTP/1.0 200 OK\r\n" + fieldsMark + sized, Close},
--- a/internal/strictconn/body.go
+++ b/internal/strictconn/body.go
@@ -19,23 +19,23 @@
 	chunks chunks
 }
 
-// next returns how many of p, the bytes that arrived next, belong to the body and are valid, and
-// whether the body ends with them.
-func (b *body) next(p []byte) (n int, done bool, err error) {
+// next returns how many of p, the bytes that arrived next, belong to the body and are valid, how many of
+// these are its trailer, and whether the body ends with them.
+func (b *body) next(p []byte) (n, trailer int, done bool, err error) {
 	switch b.kind {
 	case inChunks:
 		return b.nextChunks(p)
 	case untilEnd:
-		return len(p), false, nil
+		return len(p), 0, false, nil
 	default:
 		n = int(min(b.left, int64(len(p))))
 		b.left -= int64(n)
-		return n, b.left == 0, nil
+		return n, 0, b.left == 0, nil
 	}
 }
 
-// nextChunks is next for a body in chunks.
-func (b *body) nextChunks(p []byte) (n int, done bool, err error) {
+// nextChunks is next for a body in chunks. The trailer begins with the LF after the size of the last chunk.
+func (b *body) nextChunks(p []byte) (n, trailer int, done bool, err error) {
 	for n < len(p) {
 		if b.chunks.state == chunkData {
 			data := int(min(b.left, int64(len(p)-n)))
@@ -47,15 +47,18 @@
 		}
 		done, err = b.chunks.add(p[n])
 		if err != nil {
-			return n, false, err
+			return n, trailer, false, err
 		}
 		n++
-		if b.chunks.state == chunkData {
+		switch b.chunks.state {
+		case chunkData:
 			b.left = b.chunks.size
+		case inTrailer:
+			trailer++
 		}
 		if done {
-			return n, true, nil
+			return n, trailer, true, nil
 		}
 	}
-	return n, false, nil
+	return n, trailer, false, nil
 }
--- a/internal/strictconn/conn.go
+++ b/internal/strictconn/conn.go
@@ -34,6 +34,8 @@
 	// body is the body of the current response, if inBody is set.
 	body   body
 	inBody bool
+	// trailer is the part of the current trailer that was received.
+	trailer []byte
 	// ready are valid bytes that are to be delivered next.
 	ready []byte
 	// err ends all further reads.
@@ -138,7 +140,7 @@
 			return 0, c.readFailed(err)
 		}
 	}
-	n, done, err := c.body.next(p[:received])
+	n, trailer, done, err := c.body.next(p[:received])
 	switch {
 	case buffered:
 		c.start += n
@@ -149,6 +151,10 @@
 	if err != nil {
 		err = c.fail(err)
 	}
+	if trailer > 0 {
+		n -= trailer
+		c.trailer = append(c.trailer, p[n:n+trailer]...)
+	}
 	if done {
 		c.endResponse()
 	}
@@ -160,6 +166,9 @@
 }
 
 func (c *Conn) endResponse() {
+	if c.body.kind == inChunks {
+		c.ready, c.trailer = c.trailer, c.trailer[:0]
+	}
 	c.inBody, c.headBytes = false, 0
 	c.head.reset()
 	c.requests.answered()
--- a/internal/strictconn/doc.go
+++ b/internal/strictconn/doc.go
@@ -4,7 +4,7 @@
 // in use, those of net/http and hertz, repair or accept such responses in different ways.
 //
 // Invariants:
-//   - No byte of a head is delivered before all of it is valid.
+//   - No byte of a head or trailer is delivered before all of it is valid.
 //   - io.EOF is returned only between responses, or at the orderly end of a body without a length.
 //   - Interim responses (1xx) are checked and never delivered.
 package strictconn
--- a/internal/strictconn/field_lines.go
+++ b/internal/strictconn/field_lines.go
@@ -29,6 +29,10 @@
 
 // add checks the next byte and reports whether it ends the lines.
 func (f *fieldLines) add(b byte) (done bool, err error) {
+	if b == '\n' && f.part == Trailer && f.state != valueCR && f.state != lastCR {
+		// Recipients may take a single LF in a head for the end of a line, but not in a chunked body.
+		return false, invalid(Trailer, "LF without CR")
+	}
 	switch f.state {
 	case lineStart:
 		return f.startLine(b)
--- a/internal/strictconn/framing.go
+++ b/internal/strictconn/framing.go
@@ -40,7 +40,7 @@
 		return nil
 	}
 	if part == Trailer {
-		f.current = otherField
+		return invalid(Trailer, "field %s in the trailer", name)
 	}
 	return nil
 }
