Notice a reset that the write of a request gets

A server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The client got that part as a complete answer.

Cause: the kernel reports a reset once. If the write of the upload gets ECONNRESET, reads return what has arrived and then EOF, as after an orderly end. The upstream still runs, so the check whether it has ended, which is made for answers without a length, found nothing.

internal/strictconn keeps the first error of a write. At the end of a body without a length it interrupts a write that is under way, waits for its result, and fails if that is anything but EPIPE: Linux reports a reset after the peer's FIN as EPIPE, and then the end was orderly. Nothing has to be waited for longer than the interruption takes. Answers with a length, in chunks or with an orderly end are delivered as before.

--- a/internal/gateway/env_test.go
+++ b/internal/gateway/env_test.go
@@ -24,6 +24,7 @@
 	"github.com/jacinthbend/jacinthbend/internal/gateway"
 	"github.com/jacinthbend/jacinthbend/internal/lifecycle"
 	"github.com/jacinthbend/jacinthbend/internal/peer"
+	"github.com/jacinthbend/jacinthbend/internal/responsetest"
 	"github.com/jacinthbend/jacinthbend/internal/retrybudget"
 	"github.com/jacinthbend/jacinthbend/internal/tokenquota"
 	"github.com/jacinthbend/jacinthbend/internal/upstream"
@@ -187,7 +188,7 @@
 	check := is.New(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	check.NoErr(err)
-	h := peer.NewServer(ln, peer.ServerOptions{MaxBodyBytes: 1 << 20, WriteTimeout: time.Second, ReadLimit: 30 * time.Second, OmitDefaultHeaders: true})
+	h := peer.NewServer(ln, peer.ServerOptions{MaxBodyBytes: responsetest.UploadBytes, WriteTimeout: time.Second, ReadLimit: 30 * time.Second, OmitDefaultHeaders: true})
 	h.Any("/*path", env.gateway.Serve)
 	go func() { _ = h.Run() }()
 	t.Cleanup(func() { _ = h.Close() })
--- a/internal/gateway/invalid_response_test.go
+++ b/internal/gateway/invalid_response_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/jacinthbend/jacinthbend/internal/fleet"
 	"github.com/jacinthbend/jacinthbend/internal/responsetest"
 )
 
@@ -97,3 +98,33 @@
 		})
 	}
 }
+
+// TestEarlyResponseToUpload guards against a response that was broken off by a reset while the request was
+// still being written and reaches the caller as complete, and against one that is complete and lost.
+func TestEarlyResponseToUpload(t *testing.T) {
+	const attempts = 20
+	upload := strings.Repeat("x", responsetest.UploadBytes)
+	for _, r := range responsetest.Early {
+		t.Run(r.Name, func(t *testing.T) {
+			check := is.New(t)
+			env := newEnv(t, respond(200, "ok"))
+			view, config := *env.view, *env.view.Config
+			config.Limits.MaxBodyBytes = len(upload)
+			u := *view.Upstreams["i-0"]
+			u.Addr = responsetest.ServeEarly(t, r.Response, stampedFields)
+			view.Upstreams, view.Config = map[string]*fleet.Upstream{"i-0": &u}, &config
+			env.gateway.Update(&view)
+			for range attempts {
+				resp := env.send("POST", "/once/", upload)
+				if r.Complete {
+					check.NoErr(resp.err)
+					check.Equal(resp.status, 200)
+					check.Equal(resp.body, responsetest.Body)
+					continue
+				}
+				check.True(resp.err != nil || resp.status == http.StatusBadGateway)
+				check.True(!strings.Contains(resp.body, responsetest.Body))
+			}
+		})
+	}
+}
--- a/internal/responsetest/response.go
+++ b/internal/responsetest/response.go
@@ -16,6 +16,10 @@
 	Close
 	// Reset closes the connection by a TCP reset.
 	Reset
+	// HalfClose ends the sending direction, and reads what the client still sends.
+	HalfClose
+	// HalfCloseReset ends the sending direction, and resets the connection a little later.
+	HalfCloseReset
 )
 
 // Response is what a server sends in answer to a request.
--- a/internal/responsetest/server.go
+++ b/internal/responsetest/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 )
 
 // Serve answers each request with the response that respond returns for the number of the request,
@@ -25,6 +26,26 @@
 	})
 }
 
+// ServeEarly answers each POST with r before it has read all of the body, which must be longer than
+// UploadBytes, and each other request with an empty 200.
+func ServeEarly(tb testing.TB, r Response, fields string) string {
+	const read = 64 << 10
+	return serve(tb, func(c net.Conn, req *http.Request) bool {
+		if req.Method != http.MethodPost {
+			return Response{raw: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}.Write(c, "")
+		}
+		if _, err := io.CopyN(io.Discard, req.Body, read); err != nil {
+			return false
+		}
+		_ = r.Write(c, fields)
+		return false
+	})
+}
+
+// UploadBytes is the length of a body that the sockets can't hold, so that it is still being written
+// while a response arrives.
+const UploadBytes = 12 << 20
+
 // serve answers the requests on each connection with answer, as long as it returns true.
 func serve(tb testing.TB, answer func(net.Conn, *http.Request) bool) string {
 	tb.Helper()
@@ -63,6 +84,13 @@
 	switch r.End {
 	case KeepOpen:
 		return true
+	case HalfClose:
+		_ = tcp.CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
+	case HalfCloseReset:
+		_ = tcp.CloseWrite()
+		time.Sleep(resetDelay)
+		_ = tcp.SetLinger(0)
 	case Reset:
 		_ = tcp.SetLinger(0)
 	case Close:
@@ -70,3 +98,6 @@
 	_ = c.Close()
 	return false
 }
+
+// resetDelay is how long after the end of a response HalfCloseReset resets the connection.
+const resetDelay = 20 * time.Millisecond
--- a/internal/strictconn/conn.go
+++ b/internal/strictconn/conn.go
@@ -187,6 +187,9 @@
 	case !c.inBody || c.body.kind != untilEnd:
 		return c.fail(&InvalidError{End, io.ErrUnexpectedEOF})
 	}
+	if err := c.writeFailure(); err != nil {
+		return c.fail(&InvalidError{End, errors.Wrap(err, "the connection failed while the request was sent")})
+	}
 	c.err = io.EOF
 	return io.EOF
 }
