Notice the early end of unframed responses of other processes

An answer without a length that was reset, or timed out, in the middle was taken for complete by the clients of other instances, agents, engines and the store.

Cause: hertz takes any error of the connection for the end of such a body.

The connections of internal/peer deliver such a body in chunks (strictconn.Conn.DelimitBodies). The last chunk comes only after an orderly end, so that hertz fails otherwise.

"reset without a length" failed on at each of these clients: peer (buffered and streamed), engine report, id and order, store. It passes now, and so do answers without a length that end in an orderly way.

--- a/internal/peer/response_conn.go
+++ b/internal/peer/response_conn.go
@@ -35,6 +35,8 @@
 	if err != nil {
 		return nil, err
 	}
+	// Hertz takes any error for the end of a body without a length.
+	conn.DelimitBodies()
 	return &responseConn{Conn: conn, Writer: network.NewWriter(conn), perRead: d.perRead}, nil
 }
 
--- a/internal/responsetest/invalid.go
+++ b/internal/responsetest/invalid.go
@@ -83,4 +83,5 @@
 	{"end in the trailer", chunked + chunk + "0\r\nX: y\r\n", Close},
 	{"reset before the length", ok + "Content-Length: 8\r\n\r\n" + Body, Reset},
 	{"reset without the last chunk", chunked + chunk, Reset},
+	{"reset without a length", ok + "\r\n" + Body, Reset},
 }
--- a/internal/strictconn/conn.go
+++ b/internal/strictconn/conn.go
@@ -1,10 +1,12 @@
 package strictconn
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"os"
+	"strconv"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -20,6 +22,7 @@
 type Conn struct {
 	net.Conn
 	addr     string
+	delimit  bool
 	requests requests
 
 	// buf[start:end] are bytes that were received and not delivered. A connection without such bytes
@@ -58,6 +61,10 @@
 	return s
 }
 
+// DelimitBodies makes the connection deliver bodies without a length in chunks, for parsers that take
+// any error for the end of such a body. It must be called before the first read.
+func (c *Conn) DelimitBodies() { c.delimit = true }
+
 // Read implements net.Conn. An error other than the end of a deadline is returned by all further reads.
 func (c *Conn) Read(p []byte) (int, error) {
 	for len(p) > 0 {
@@ -124,7 +131,10 @@
 	}
 	c.body, c.inBody = c.head.body(c.requests.toHead.Load()), true
 	c.ready = received
-	if c.body.kind == sized && c.body.left == 0 {
+	switch {
+	case c.body.kind == untilEnd && c.delimit:
+		c.ready = delimitedHead(received)
+	case c.body.kind == sized && c.body.left == 0:
 		c.endResponse()
 	}
 }
@@ -159,6 +169,10 @@
 		c.endResponse()
 	}
 	c.releaseBuffer()
+	if c.body.kind == untilEnd && c.delimit && n > 0 {
+		c.ready = chunkOf(p[:n])
+		return 0, nil
+	}
 	if n > 0 {
 		err = nil // returned by the next read
 	}
@@ -191,6 +205,10 @@
 		return c.fail(&InvalidError{End, errors.Wrap(err, "the connection failed while the request was sent")})
 	}
 	c.err = io.EOF
+	if c.delimit {
+		c.ready = []byte("0\r\n\r\n")
+		return nil
+	}
 	return io.EOF
 }
 
@@ -236,3 +254,20 @@
 	}
 	c.buf, c.start, c.end, c.checked = nil, 0, 0, 0
 }
+
+// delimitedHead returns the head of a response without a length as that of one in chunks, whose
+// connection ends after it.
+func delimitedHead(head []byte) []byte {
+	fields := bytes.TrimSuffix(head[:len(head)-1], []byte("\r")) // without the empty line
+	delimited := append(bytes.Clone(fields), "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"...)
+	// HTTP/1.0 has no chunks.
+	delimited[len("HTTP/1.")] = '1'
+	return delimited
+}
+
+// chunkOf returns a chunk with the data.
+func chunkOf(data []byte) []byte {
+	chunk := strconv.AppendInt(nil, int64(len(data)), 16)
+	chunk = append(append(chunk, "\r\n"...), data...)
+	return append(chunk, "\r\n"...)
+}
--- a/internal/strictconn/conn_test.go
+++ b/internal/strictconn/conn_test.go
@@ -41,16 +41,22 @@
 
 // TestParts guards against checks that depend on how a response is split into reads.
 func TestParts(t *testing.T) {
-	for _, r := range append(append([]responsetest.Response{}, responsetest.Invalid...), responsetest.Sound...) {
-		if r.End == responsetest.Reset {
-			continue
+	for _, delimit := range []bool{false, true} {
+		for _, r := range append(append([]responsetest.Response{}, responsetest.Invalid...), responsetest.Sound...) {
+			if r.End == responsetest.Reset {
+				continue
+			}
+			check := is.New(t)
+			data := []byte(r.Bytes("X-A: b\r\n"))
+			whole, parts := New(byteConn{r: bytes.NewReader(data)}, "server"), New(byteConn{r: iotest.OneByteReader(bytes.NewReader(data))}, "server")
+			if delimit {
+				whole.DelimitBodies()
+				parts.DelimitBodies()
+			}
+			status, body, err := read(whole, http.MethodGet)
+			partStatus, partBody, partErr := read(parts, http.MethodGet)
+			check.Equal([]any{status, body, err == nil}, []any{partStatus, partBody, partErr == nil})
 		}
-		check := is.New(t)
-		data := []byte(r.Bytes("X-A: b\r\n"))
-		whole, parts := New(byteConn{r: bytes.NewReader(data)}, "server"), New(byteConn{r: iotest.OneByteReader(bytes.NewReader(data))}, "server")
-		status, body, err := read(whole, http.MethodGet)
-		partStatus, partBody, partErr := read(parts, http.MethodGet)
-		check.Equal([]any{status, body, err == nil}, []any{partStatus, partBody, partErr == nil})
 	}
 }
 
