Say that a request has not run only after a complete response

An upstream's answer that it did not run a request counted, and the caller was told so, even if the answer broke off or its chunks or trailer were invalid. So did an answer of an upstream to the check whether it still runs.

Cause: both were read from the head; errors of the rest were dropped.

Response.Discard returns the error of what has arrived of the rest. A rest that is longer or slower than the limits is no error, as before. With an error the attempt counts as failed and as one that may have run: the upstream gets less, requests that may be repeated go to another one, others get 502 at once.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -66,7 +66,7 @@
 	}
 	r.learnSpeed(choice, ticket, resp.Status, attrs)
 	if attrs.NotExecuted || resp.Status == http.StatusMisdirectedRequest {
-		return r.notExecuted(choice, ticket, resp, attrs)
+		return r.notExecuted(ctx, detector, choice, ticket, resp, attrs)
 	}
 	r.possibleRuns++
 	if resp.Status/100 == 2 && r.route.Kind == fleet.Streaming && attrs.Stamped && !attrs.Encoded {
@@ -127,9 +127,13 @@
 }
 
 // notExecuted handles a response which states that the upstream did not run the
-// request.
-func (r *request) notExecuted(choice *upstream.Choice, ticket *upstream.Ticket, resp *upstreamclient.Response, a fleet.ResponseAttributes) attemptResult {
-	resp.Discard()
+// request. One whose body is not valid states nothing.
+func (r *request) notExecuted(ctx context.Context, detector *stallDetector, choice *upstream.Choice, ticket *upstream.Ticket, resp *upstreamclient.Response, a fleet.ResponseAttributes) attemptResult {
+	if err := resp.Discard(); err != nil && detector.ctx.Err() == nil {
+		// attemptFailed counts this attempt again.
+		r.deliveries--
+		return r.attemptFailed(ctx, detector, choice, ticket, &upstreamclient.Failure{Stage: upstreamclient.BadResponse, Err: err})
+	}
 	otherInstance := a.Instance != "" && a.Instance != choice.Upstream.ID
 	missing := resp.Status == http.StatusMisdirectedRequest || resp.Status == http.StatusServiceUnavailable && a.HasLoad && a.Waiting == 0 && a.RetryAfter == 0
 	if missing && !otherInstance && r.query.Model != "" {
--- a/internal/gateway/crash_check.go
+++ b/internal/gateway/crash_check.go
@@ -176,9 +176,8 @@
 	if err != nil {
 		return false
 	}
-	defer resp.Discard()
 	instance := r.g.Dialect.Answer(resp.Header).Instance
-	return instance == "" || instance == u.ID
+	return resp.Discard() == nil && (instance == "" || instance == u.ID)
 }
 
 // interruptionFields returns the log fields of an attempt that failed. If the request was
--- a/internal/gateway/invalid_response_test.go
+++ b/internal/gateway/invalid_response_test.go
@@ -29,7 +29,7 @@
 func TestInvalidResponseReachesCaller(t *testing.T) {
 	for _, r := range responsetest.Invalid {
 		for name, row := range map[string]struct{ path, fields string }{
-			"buffered": {"/once/", ""}, "streamed": {"/stream/", "Content-Type: text/event-stream\r\n"},
+			"buffered": {"/once/", ""}, "streamed": {"/stream/", "Content-Type: text/event-stream\r\n"}, "refused": {"/once/", "Jacinthbend-Not-Executed: 1\r\n"},
 		} {
 			t.Run(name+"/"+r.Name, func(t *testing.T) {
 				check := is.New(t)
--- a/internal/upstreamclient/client.go
+++ b/internal/upstreamclient/client.go
@@ -154,7 +154,7 @@
 			cn.idleTimeout = idleTimeout
 			return resp, nil
 		}
-		if !cn.discard(resp.Body) || resp.Close {
+		if complete, _ := cn.discard(resp.Body); !complete || resp.Close {
 			return nil, &Failure{BadResponse, errors.Errorf("response to another request %q", id)}
 		}
 	}
--- a/internal/upstreamclient/conn.go
+++ b/internal/upstreamclient/conn.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"io"
 	"net/http"
+	"os"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/jacinthbend/jacinthbend/internal/strictconn"
@@ -40,15 +42,22 @@
 	return http.ReadResponse(c.r, &http.Request{Method: method})
 }
 
-// discard reads the rest of a response that nobody needs, and reports whether it
-// reached the end within the limits.
-func (c *conn) discard(body io.Reader) bool {
+// discard reads the rest of a response that nobody needs. complete tells that it reached the end within
+// the limits; err that the rest is not valid.
+func (c *conn) discard(body io.Reader) (complete bool, err error) {
 	if err := c.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
-		return false
+		return false, err
 	}
 	n, err := io.CopyN(io.Discard, body, maxDiscardedBytes)
-	complete := err == io.EOF && n < maxDiscardedBytes
-	return c.SetReadDeadline(time.Time{}) == nil && complete
+	reset := c.SetReadDeadline(time.Time{})
+	switch {
+	case err == io.EOF:
+		return n < maxDiscardedBytes && reset == nil, nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return false, nil
+	default:
+		return false, err
+	}
 }
 
 // mayCarry reports whether an idle connection may be used for r, which is not the last request
--- a/internal/upstreamclient/endless_test.go
+++ b/internal/upstreamclient/endless_test.go
@@ -135,7 +135,7 @@
 			c := newTestClient()
 			resp, err := c.Do(ctx, u.addr, testRequest("r"))
 			check.NoErr(err)
-			resp.Discard()
+			check.NoErr(resp.Discard()) // what has arrived is valid
 			check.NoErr(ctx.Err())
 			check.True(u.written.Load() < maxFlood)
 			check.Equal(c.idleCount(u.addr), 0) // the connection must not be reused
@@ -150,7 +150,7 @@
 		c := newTestClient()
 		resp, err := c.Do(context.Background(), u.addr, testRequest("r"))
 		check.NoErr(err)
-		resp.Discard()
+		check.NoErr(resp.Discard())
 		check.Equal(c.idleCount(u.addr), 1)
 	})
 }
--- a/internal/upstreamclient/response.go
+++ b/internal/upstreamclient/response.go
@@ -44,8 +44,13 @@
 }
 
 // Discard ends an exchange whose body nobody needs. It keeps the connection if the
-// rest of the body is short and arrives at once.
-func (r *Response) Discard() { r.Close(r.conn.discard(r.Body)) }
+// rest of the body is short and arrives at once. An error means that what has arrived of the
+// body is not valid or ends too early; then the response is none.
+func (r *Response) Discard() error {
+	complete, err := r.conn.discard(r.Body)
+	r.Close(complete)
+	return err
+}
 
 // requestWritten reports whether the whole request was written. If the connection
 // were reused before that, the upstream would take the rest of the body for a new
