Write the log lines of packages without a logger of their own

Cause: these packages log to zap.L(), which discards all lines until zap.ReplaceGlobals is called, and no program called it.

NewLeveledLogger, with which all programs make their logger, sets it. Lines below warn are sampled, as all others are.

TestGlobalLogger fails without the call and passes with it.

--- a/internal/telemetry/logger.go
+++ b/internal/telemetry/logger.go
@@ -34,7 +34,7 @@
 // NewLeveledLogger is like NewLogger, with a choice of output (stdout or stderr)
 // and a level that can be changed at run time. Logging never blocks. Lines below
 // warn are sampled. The logger counts the dropped lines and logs their number at
-// regular intervals.
+// regular intervals. It becomes the logger of packages that get none, zap.L().
 func NewLeveledLogger(level, instance, dataCentre, output string) (*zap.Logger, zap.AtomicLevel, error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
@@ -48,7 +48,9 @@
 	// hertz logs each closed connection as an error. Entry instances and agents log
 	// the relevant failures themselves.
 	hlog.SetOutput(io.Discard)
-	return newLogger(out, at, zap.String("instance", instance), zap.String("data_centre", dataCentre)), at, nil
+	logger := newLogger(out, at, zap.String("instance", instance), zap.String("data_centre", dataCentre))
+	zap.ReplaceGlobals(logger)
+	return logger, at, nil
 }
 
 func newLogger(out io.Writer, level zap.AtomicLevel, fields ...zap.Field) *zap.Logger {
--- a/internal/telemetry/logger_test.go
+++ b/internal/telemetry/logger_test.go
@@ -107,3 +107,14 @@
 			zap.Int("ran", 1), zap.Int("events", 7), zap.Duration("sent_after", time.Millisecond), zap.Duration("first_byte_after", time.Second))
 	}
 }
+
+// TestGlobalLogger guards against lines of packages that have no logger of their own, such as that of an
+// invalid response, which are lost.
+func TestGlobalLogger(t *testing.T) {
+	check := is.New(t)
+	before := zap.L()
+	t.Cleanup(func() { zap.ReplaceGlobals(before) })
+	logger, err := NewLogger("info", "entry-0", "near")
+	check.NoErr(err)
+	check.Equal(zap.L(), logger)
+}
