--- a/internal/upstreamclient/fuzz_test.go
+++ b/internal/upstreamclient/fuzz_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/jacinthbend/jacinthbend/internal/responsetest"
 	"github.com/jacinthbend/jacinthbend/internal/strictconn"
 )
 
@@ -21,8 +23,9 @@
 func (byteConn) SetReadDeadline(time.Time) error  { return nil }
 func (byteConn) SetWriteDeadline(time.Time) error { return nil }
 
-// FuzzResponse guards against bytes of an upstream that end the process, and against a
-// response to another request that is taken for the expected one.
+// FuzzResponse guards against bytes of an upstream that end the process, against a
+// response to another request that is taken for the expected one, and against an invalid
+// response.
 func FuzzResponse(f *testing.F) {
 	for _, seed := range []string{
 		"", "\x00", "HTTP/1.1 200 OK\r\n\r\n", responseTo("r", "done"), responseTo("other", "stray") + responseTo("r", "done"),
@@ -32,6 +35,9 @@
 	} {
 		f.Add([]byte(seed))
 	}
+	for _, r := range append(append([]responsetest.Response{}, responsetest.Invalid...), responsetest.Sound...) {
+		f.Add([]byte(r.Bytes(idHeader + ": r\r\n")))
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		c := NewClient(func(h http.Header) (string, time.Duration) { return h.Get(idHeader), 0 })
 		resp, err := c.readResponse(newConn(strictconn.New(byteConn{r: bytes.NewReader(data)}, "upstream")), testRequest("r"))
@@ -41,6 +47,14 @@
 		if resp.Header.Get(idHeader) != "r" {
 			t.Errorf("response to %q taken for that to \"r\"", resp.Header.Get(idHeader))
 		}
+		if resp.StatusCode < 200 || resp.StatusCode > 599 {
+			t.Errorf("status %d", resp.StatusCode)
+		}
+		for name := range resp.Header {
+			if strings.ContainsAny(name, " \t\x00\x01\x7f") {
+				t.Errorf("field %q", name)
+			}
+		}
 		n, err := io.Copy(io.Discard, resp.Body)
 		if err == nil && n > int64(len(data)) {
 			t.Errorf("%d bytes of body from %d bytes", n, len(data))
