Leave the limits of a response's head to strictconn

Cause: boundedConn limited the bytes and parts of heads and trailers, which strictconn now delivers whole and limits itself.

Its own limits of them are removed; those of the whole response and of the lines of chunks stay. TestEndlessAnswer and TestLongAnswer pass unchanged.

--- a/internal/peer/bounded_conn.go
+++ b/internal/peer/bounded_conn.go
@@ -11,7 +11,6 @@
 var (
 	errResponseTooLong = errors.Errorf("the response exceeds %d bytes", maxResponseBytes)
 	errTooManyChunks   = errors.Errorf("the sizes of the response's chunks exceed %d bytes", maxChunkSizeBytes)
-	errHeadTooLong     = errors.Errorf("the response header or trailer exceeds %d bytes or arrives in more than %d parts", maxHeaderBytes, maxPeeks)
 )
 
 // ErrConnUnusable is the error of a strict client whose request was not sent, because the
@@ -36,15 +35,11 @@
 }
 
 // boundedConn fails reads once the response to the last request is longer than
-// maxResponseBytes, its header longer than maxHeaderBytes, or in too many chunks. Hertz limits
-// only the body of a response.
+// maxResponseBytes, or in too many chunks. Hertz limits only the body of a response.
 type boundedConn struct {
 	*responseConn
 	// consumed is how many bytes of the response were read.
 	consumed int
-	// peeks is how often hertz has waited for more bytes since it last read any. For a
-	// body it waits once at most, for a header or trailer after each part that arrives.
-	peeks int
 	// chunkSizes is how many bytes of the response were read one by one. Hertz does so only for
 	// the sizes of chunks.
 	chunkSizes int
@@ -53,25 +48,16 @@
 	strict, used bool
 }
 
-// maxPeeks limits the parts in which a header or trailer may arrive, since hertz parses
-// it from the beginning after each part.
-const maxPeeks = 64
-
 // maxChunkSizeBytes limits the time that a response of many tiny chunks takes. One of
 // maxResponseBytes in chunks of 1 KiB has less.
 const maxChunkSizeBytes = 64 << 10
 
-func (c *boundedConn) consume(n int) {
-	c.consumed += n
-	c.peeks = 0
-}
-
 // Flush sends a request, after which a new response is due.
 func (c *boundedConn) Flush() error {
 	if c.strict && c.used && !c.idle() {
 		return ErrConnUnusable
 	}
-	c.consumed, c.peeks, c.chunkSizes, c.used = 0, 0, 0, true
+	c.consumed, c.chunkSizes, c.used = 0, 0, true
 	return c.responseConn.Flush()
 }
 
@@ -86,10 +72,6 @@
 // panics otherwise.
 func (c *boundedConn) Peek(n int) ([]byte, error) {
 	if n > c.responseConn.Len() {
-		c.peeks++
-		if n > maxHeaderBytes && c.peeks > 1 || c.peeks > maxPeeks {
-			return nil, errHeadTooLong
-		}
 		if err := c.check(); err != nil {
 			return nil, err
 		}
@@ -99,7 +81,7 @@
 
 // Skip implements network.Reader.
 func (c *boundedConn) Skip(n int) error {
-	c.consume(n)
+	c.consumed += n
 	return c.responseConn.Skip(n)
 }
 
@@ -109,7 +91,7 @@
 		return 0, err
 	}
 	n, err := c.responseConn.Read(p)
-	c.consume(n)
+	c.consumed += n
 	return n, err
 }
 
@@ -121,7 +103,7 @@
 	if c.chunkSizes++; c.chunkSizes > maxChunkSizeBytes {
 		return 0, errTooManyChunks
 	}
-	c.consume(1)
+	c.consumed++
 	return c.responseConn.ReadByte()
 }
 
@@ -130,6 +112,6 @@
 	if err := c.check(); err != nil {
 		return nil, err
 	}
-	c.consume(n)
+	c.consumed += n
 	return c.responseConn.ReadBinary(n)
 }
--- a/internal/upstreamclient/doc.go
+++ b/internal/upstreamclient/doc.go
@@ -4,5 +4,6 @@
 // upstream, and a response can be followed by bytes that belong to no request.
 //
 // Responses are parsed by http.ReadResponse of net/http rather than by hertz,
-// because ReadResponse reports a truncated response, even one without a length.
+// because ReadResponse reports a truncated response, even one without a length. The connections
+// of package strictconn reject invalid responses before they reach it.
 package upstreamclient
