Name the status codes that strictconn treats apart

Cause: they stood there as numbers beside the names that head.go uses. No change of behaviour; the tests of strictconn and upstreamclient pass.

--- a/internal/strictconn/framing.go
+++ b/internal/strictconn/framing.go
@@ -1,6 +1,7 @@
 package strictconn
 
 import (
+	"net/http"
 	"strconv"
 	"strings"
 )
@@ -81,12 +82,12 @@
 		return invalid(Framing, "a length and chunks")
 	case f.chunked && l.minor == 0:
 		return invalid(Framing, "chunks in HTTP/1.0")
-	case (isInterim(l.status) || l.status == 204) && (f.chunked || f.length > 0):
+	case (isInterim(l.status) || l.status == http.StatusNoContent) && (f.chunked || f.length > 0):
 		return invalid(Framing, "a body after status %d", l.status)
-	case l.status == 101:
-		return invalid(StatusLine, "status 101, but no upgrade was requested")
+	case l.status == http.StatusSwitchingProtocols:
+		return invalid(StatusLine, "status %d, but no upgrade was requested", l.status)
 	}
 	return nil
 }
 
-func isInterim(status int) bool { return status < 200 }
+func isInterim(status int) bool { return status < http.StatusOK }
--- a/internal/strictconn/invalid_error.go
+++ b/internal/strictconn/invalid_error.go
@@ -18,8 +18,7 @@
 
 // InvalidError is the error of a response that breaks the protocol.
 type InvalidError struct {
-	Part Part
-	// Reason says what is wrong, without the bytes of the response.
+	Part   Part
 	Reason error
 }
 
