Break responses on the links of the soak, and rules for the new checks

The soak's links between processes, upstreams and the store break, in a third of their faults, the responses that begin: status 000, a blank or a control byte in a name, two lengths, an invalid interim response, or a part and a reset. All but the last carry a field that no caller may get.

--- a/bench/soak/checker.go
+++ b/bench/soak/checker.go
@@ -177,6 +177,12 @@
 	if late := s.answeredAt.Sub(s.sentAt) - s.Deadline; late > maxLateness && c.faultFree(s.entry, s.sentAt, s.answeredAt) {
 		c.addViolation("held", "%s at entry %d ended %v after its deadline", s.ID, s.entry, late.Round(time.Millisecond))
 	}
+	if a.Err == nil && (a.Status < 200 || a.Status > 599) {
+		c.addViolation("invalid response", "%s was answered with status %d", s.ID, a.Status)
+	}
+	if a.Header.Get(brokenHeader) != "" {
+		c.addViolation("invalid response", "%s got one with status %d", s.ID, a.Status)
+	}
 	if a.Err != nil || a.Status != 200 {
 		return
 	}
--- a/bench/soak/checker_test.go
+++ b/bench/soak/checker_test.go
@@ -85,6 +85,12 @@
 			c.addFaultSpan(0, s.sentAt, s.sentAt.Add(time.Second))
 			c.recordAnswer(s, newAnswer(503, ""))
 		}},
+		{"invalid response", "invalid response", func(c *checker, s *sentRequest) {
+			a := newAnswer(200, "r b")
+			a.Header = http.Header{brokenHeader: {"1"}}
+			c.recordAnswer(s, a)
+		}},
+		{"invalid status", "invalid response", func(c *checker, s *sentRequest) { c.recordAnswer(s, newAnswer(0, "")) }},
 		{"harmful part known", "", func(c *checker, s *sentRequest) { recordHarmful(c, s, maxLateHarmful) }},
 		{"harmful part sent on", "harmful part", func(c *checker, s *sentRequest) { recordHarmful(c, s, maxLateHarmful+1) }},
 		{"lost", "lost", func(c *checker, s *sentRequest) {
--- a/bench/soak/fault_injector.go
+++ b/bench/soak/fault_injector.go
@@ -214,9 +214,17 @@
 
 var linkFaults = []LinkFault{LinkDelayed, LinkStalled, LinkStalledToTarget, LinkStalledToCaller, LinkReset}
 
+// One fault of a link to a server in breakOneIn breaks the server's responses.
+const breakOneIn = 3
+
 func (f *faultInjector) failLink(p *proxy, r *rand.Rand) {
 	p.setFault(pick(r, linkFaults))
 	f.undoLater(r, func() { p.setFault(LinkHealthy) })
+	// Drawn last, so that the faults of earlier seeds stay the same in all else.
+	if r.IntN(breakOneIn) == 0 {
+		f.logf("broken responses")
+		p.setFault(LinkBroken)
+	}
 }
 
 func (f *faultInjector) failCallerLink(r *rand.Rand) {
--- a/bench/soak/proxy.go
+++ b/bench/soak/proxy.go
@@ -1,11 +1,13 @@
 package soak
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/jacinthbend/jacinthbend/internal/standin"
@@ -27,6 +29,8 @@
 	LinkStalledToCaller
 	// LinkReset resets all open connections once.
 	LinkReset
+	// LinkBroken breaks the responses that begin.
+	LinkBroken
 )
 
 const (
@@ -174,9 +178,16 @@
 		n, err := from.Read(buf)
 		if n > 0 {
 			p.waitToForward(stall)
-			if _, werr := to.Write(buf[:n]); werr != nil {
+			data, reset := buf[:n], false
+			if stall == LinkStalledToCaller {
+				data, reset = p.toCaller(data)
+			}
+			if _, werr := to.Write(data); werr != nil {
 				err = werr
 			}
+			if reset {
+				err = errBroken
+			}
 		}
 		if err == nil {
 			continue
@@ -190,6 +201,19 @@
 	}
 }
 
+// errBroken ends the connection of a response that was broken off.
+var errBroken = errors.New("response broken off")
+
+// toCaller returns what the caller gets instead of data, and whether the connection is reset after it.
+func (p *proxy) toCaller(data []byte) (broken []byte, reset bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fault != LinkBroken || !bytes.HasPrefix(data, responseStart) {
+		return data, false
+	}
+	return breakResponse(data, int(xxhash.Sum64(data)%breakWays))
+}
+
 // waitToForward blocks until a chunk may be forwarded in the direction that the
 // fault stall blocks.
 func (p *proxy) waitToForward(stall LinkFault) {
