--- a/internal/gateway/invalid_response_test.go
+++ b/internal/gateway/invalid_response_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -128,3 +130,27 @@
 		})
 	}
 }
+
+// TestInvalidRestOfStream guards against a stream that becomes invalid after its first event and looks
+// complete, or keeps the caller waiting.
+func TestInvalidRestOfStream(t *testing.T) {
+	const second = "id: 2\ndata: b\n\n"
+	for name, rest := range map[string]string{"chunk size": "zz\r\n", "trailer": "0\r\nX Y: z\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			check := is.New(t)
+			begun := responseHead(200, "r1", "Transfer-Encoding: chunked") + fmt.Sprintf("\r\n%x\r\n%s\r\n", len(event1), event1)
+			invalid := func(c net.Conn, _ receivedRequest) bool {
+				_, err := io.WriteString(c, begun+rest)
+				return err == nil
+			}
+			began := time.Now()
+			resp := newEnv(t, invalid).send("POST", "/stream/", "x")
+			check.True(resp.err != nil) // cut
+			check.Equal(resp.body, event1)
+			resp = newEnv(t, invalid, chunkedStream(true, second)).send("POST", "/resume/", "x")
+			check.NoErr(resp.err)
+			check.Equal(resp.body, event1+second)
+			check.True(time.Since(began) < atOnce)
+		})
+	}
+}
