Deliver early refusals after a reset between processes

Cause: hertz reads a response after a failed write only if the error is ErrConnectionClosed. netpoll reported a reset as that; the connections that replaced it report it as it is.

responseConn reports ECONNRESET as ErrConnectionClosed, too. Idempotent calls whose kept connection was reset are sent again, as they were after EPIPE.

--- a/internal/peer/response_conn.go
+++ b/internal/peer/response_conn.go
@@ -154,10 +154,10 @@
 func (c *responseConn) idle() bool { return c.in.size() == 0 && c.Idle() }
 
 // ToHertzError implements network.ErrorNormalization. After ErrConnectionClosed, hertz reads the
-// response that a server may have sent before it closed the connection.
+// response that a server may have sent before it closed or reset the connection.
 func (c *responseConn) ToHertzError(err error) error {
 	switch {
-	case errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ENOTCONN):
+	case errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.ENOTCONN):
 		return herrors.ErrConnectionClosed
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return herrors.ErrTimeout
--- a/internal/responsetest/response.go
+++ b/internal/responsetest/response.go
@@ -35,6 +35,12 @@
 // Bytes returns the response with further header fields, each of which ends with CRLF.
 func (r Response) Bytes(fields string) string { return strings.ReplaceAll(r.raw, fieldsMark, fields) }
 
+// Refusal returns the response with status 413 instead of 200.
+func (r Response) Refusal() Response {
+	r.raw = strings.Replace(r.raw, "200 OK", "413 Content Too Large", 1)
+	return r
+}
+
 // Names of header fields and framings that several responses share.
 const (
 	ok      = "HTTP/1.1 200 OK\r\n" + fieldsMark
