--- a/review/third/leave.go
+++ b/review/third/leave.go
@@ -15,7 +15,7 @@
 
 const (
 	leaveShare   = 0.3                   // of the clients, the largest share of give_up on a day of the site file
-	leaveWithin  = 75 * time.Millisecond // half of the objective of candle-purchase
+	leaveWithin  = 75 * time.Millisecond // a quarter of the objective of order-confirm, half of give_up's own
 	leaveClients = 8
 	leaveEach    = 12
 )
@@ -26,8 +26,8 @@
 	store, err := newStore()
 	check(err)
 	store.put("keyed.op", "config", config(1))
-	s := newService(store, "i-kiosk-1", "kiosk-app", 100*time.Millisecond)
-	e := newEntry(dir, "edge-gau-a-1", store, 284)
+	newService(store, "i-kiosk-1", "kiosk-app", 100*time.Millisecond)
+	e := newEntry(dir, "edge-gau-a-1", store.addr, true)
 	e.start()
 	e.waitReady()
 	var wg sync.WaitGroup
@@ -51,7 +51,6 @@
 	for a, n := range answers {
 		record("%d requests: %s", n, a)
 	}
-	_ = s
 	return broken
 }
 
--- a/review/third/process.go
+++ b/review/third/process.go
@@ -27,9 +27,9 @@
 	processes   []*Process
 )
 
-// bounds are those of the sheet of vigil-net.
+// bounds are those of the sheet of mugcraft-hq.
 var bounds = map[string]any{
-	"grace_s": 8, "config_apply_ms": 2000, "drain_ms": 2000, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 54, "quota_window_s": 8,
+	"grace_s": 8, "config_apply_ms": 2000, "drain_ms": 2000, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 56, "quota_window_s": 8,
 	"quota_over": 0.1, "quota_slack": 110000, "cold_over": 1.5, "cold_slack": 5, "load_window_s": 5, "load_over": 1.1,
 }
 
@@ -61,7 +61,7 @@
 	port := freePorts(8)
 	p := &Process{name: name}
 	settings["instance"], settings["bind_ip"], settings["port_range"] = name, "127.0.0.1", []int{port, port + 5}
-	settings["bounds"], settings["first_start"], settings["data_centre"] = bounds, true, "gau-a"
+	settings["bounds"], settings["data_centre"] = bounds, "gau-a"
 	settings["cpu_share"] = 0.32
 	if program == "jacinthbend" {
 		p.caller, p.ready = fmt.Sprintf("127.0.0.1:%d", port+6), fmt.Sprintf("127.0.0.1:%d", port+7)
@@ -80,12 +80,12 @@
 	return p
 }
 
-func newEntry(dir, name string, store *Store, memoryMB int) *Process {
-	return newProcess(dir, name, "jacinthbend", map[string]any{"store_addr": store.addr, "memory_mb": memoryMB})
+func newEntry(dir, name, storeAddr string, firstStart bool) *Process {
+	return newProcess(dir, name, "jacinthbend", map[string]any{"store_addr": storeAddr, "memory_mb": 284, "first_start": firstStart})
 }
 
 func newAgent(dir, name string, store *Store, engineAddr, service string) *Process {
-	return newProcess(dir, name, "jacinthbend-agent", map[string]any{"store_addr": store.addr, "memory_mb": 216, "upstream_addr": engineAddr, "service": service})
+	return newProcess(dir, name, "jacinthbend-agent", map[string]any{"store_addr": store.addr, "memory_mb": 216, "upstream_addr": engineAddr, "service": service, "first_start": true})
 }
 
 func (p *Process) start() {
--- a/review/third/service.go
+++ b/review/third/service.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -15,6 +16,7 @@
 
 	mu   sync.Mutex
 	runs map[string]int
+	at   []time.Time
 }
 
 func newService(store *Store, id, service string, work time.Duration) *Service {
@@ -46,6 +48,7 @@
 	}
 	s.mu.Lock()
 	s.runs[id]++
+	s.at = append(s.at, time.Now())
 	s.mu.Unlock()
 	record("server %s runs %s (%d bytes)", s.id, id, len(body))
 	select {
@@ -58,10 +61,11 @@
 	fmt.Fprintf(w, "receipt of %s", id)
 }
 
-func (s *Service) ran(id string) int {
+// arrivals returns when requests began to run.
+func (s *Service) arrivals() []time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.runs[id]
+	return slices.Clone(s.at)
 }
 
 // config returns a configuration with a plain service of which one route may be repeated.
--- a/review/third/store.go
+++ b/review/third/store.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sort"
 	"strconv"
 	"sync"
@@ -21,6 +22,7 @@
 	mu      sync.Mutex
 	topics  map[string][]storeRecord
 	changed chan struct{}
+	handler http.Handler
 }
 
 type storeRecord struct {
@@ -34,6 +36,7 @@
 	mux.HandleFunc("GET /-/log-newest", s.newest)
 	mux.HandleFunc("GET /-/log-read", s.read)
 	mux.HandleFunc("POST /-/log-append", s.append)
+	s.handler = mux
 	addr, err := serve(mux)
 	s.addr = addr
 	return s, err
@@ -150,3 +153,59 @@
 	offset := s.appendLocked(topic, string(body[5:5+n]), append([]byte(nil), body[5+n:]...))
 	fmt.Fprintf(w, `{"offset":%d,"end":%d}`, offset, offset+1)
 }
+
+// StoreLink is an address of the store for one machine, which the store can turn away.
+type StoreLink struct {
+	addr string
+	name string
+
+	mu   sync.Mutex
+	away bool
+	// lost counts the times at which the store began to turn the machine away.
+	lost int
+}
+
+// link returns an address of the store for one machine.
+func (s *Store) link(name string) *StoreLink {
+	l := &StoreLink{name: name}
+	var err error
+	l.addr, err = serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		away, lost := l.state()
+		if away {
+			<-r.Context().Done()
+			return
+		}
+		answer := httptest.NewRecorder()
+		s.handler.ServeHTTP(answer, r)
+		if away, now := l.state(); away || now != lost {
+			// The connection on which an answer is lost returns nothing further.
+			<-r.Context().Done()
+			return
+		}
+		w.WriteHeader(answer.Code)
+		_, _ = w.Write(answer.Body.Bytes())
+	}))
+	check(err)
+	return l
+}
+
+func (l *StoreLink) state() (away bool, lost int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.away, l.lost
+}
+
+// turnAway makes the store give the machine no response for d.
+func (l *StoreLink) turnAway(d time.Duration) {
+	l.mu.Lock()
+	l.away = true
+	l.lost++
+	l.mu.Unlock()
+	record("the store gives %s no response for %v", l.name, d)
+	time.AfterFunc(d, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.away = false
+		record("the store answers %s again", l.name)
+	})
+}
