--- a/review/third/process.go
+++ b/review/third/process.go
@@ -33,11 +33,12 @@
 	"quota_over": 0.1, "quota_slack": 110000, "cold_over": 1.5, "cold_slack": 5, "load_window_s": 5, "load_over": 1.1,
 }
 
-var nextPort = 21000 + os.Getpid()%2000*10
+// nextPort is below the ports that the system gives to outgoing connections.
+var nextPort = 20000 + os.Getpid()%1000*10
 
 // freePorts returns the first of n consecutive ports that nothing uses.
 func freePorts(n int) int {
-	for ; nextPort < 60000; nextPort += n {
+	for ; nextPort < 32000; nextPort += n {
 		free := true
 		for i := range n {
 			ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort+i))
