--- a/review/third/engine.go
+++ b/review/third/engine.go
@@ -82,17 +82,26 @@
 	})
 }
 
-// loadedMB returns what the engine holds and was ordered to load, and its number of adapters.
-func (e *Engine) loadedMB() (mb float64, adapters int) {
+// checkMemory crashes the engine if what it holds and the model that it was ordered to load are more than it
+// holds. Adapters on their way count toward the number of adapters, and toward the memory once they are there.
+func (e *Engine) checkMemory() {
+	mb, adapters := e.o.Models[e.loading], 0
 	for m, as := range e.models {
-		mb += e.o.Models[m]
+		mb += e.o.Models[m] + float64(len(as))*e.o.AdapterMB
 		adapters += len(as)
 	}
-	if e.loading != "" {
-		mb += e.o.Models[e.loading]
-	}
 	adapters += len(e.pending)
-	return mb + float64(adapters)*e.o.AdapterMB, adapters
+	if e.crashed || mb <= e.o.WeightsMB && adapters <= e.o.MaxAdapters {
+		return
+	}
+	e.crashed = true
+	why := fmt.Sprintf("%.0f MB of %.0f and %d adapters of %d; models %v, loading %q, adapters on their way %v",
+		mb, e.o.WeightsMB, adapters, e.o.MaxAdapters, e.models, e.loading, e.pending)
+	record("engine %s crashes: %s", e.o.ID, why)
+	if e.o.OnCrash != nil {
+		e.o.OnCrash(why)
+	}
+	go func() { _ = e.server.Close() }()
 }
 
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
@@ -135,6 +144,7 @@
 			defer e.mu.Unlock()
 			e.pending = slices.DeleteFunc(e.pending, func(p string) bool { return p == name })
 			e.models[o.Model] = append(e.models[o.Model], o.Adapter)
+			e.checkMemory()
 		})
 	default:
 		e.busy, e.loading = true, o.Model
@@ -145,16 +155,7 @@
 			e.models[o.Model] = []string{}
 		})
 	}
-	if mb, adapters := e.loadedMB(); mb > e.o.WeightsMB || adapters > e.o.MaxAdapters {
-		why := fmt.Sprintf("the order to load %s %s makes %.0f MB of %.0f and %d adapters of %d; models %v, adapters on their way %v",
-			o.Model, o.Adapter, mb, e.o.WeightsMB, adapters, e.o.MaxAdapters, e.models, e.pending)
-		record("engine %s crashes: %s", e.o.ID, why)
-		if e.o.OnCrash != nil && !e.crashed {
-			e.crashed = true
-			e.o.OnCrash(why)
-			go func() { _ = e.server.Close() }()
-		}
-	}
+	e.checkMemory()
 }
 
 // run answers with a stream.
--- a/review/third/joining.go
+++ b/review/third/joining.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sort"
 	"sync"
 	"time"
 )
@@ -35,6 +34,7 @@
 	mu      sync.Mutex
 	entries []*Process
 	sent    int
+	sentAt  map[string]time.Time
 	answers map[string]int
 }
 
@@ -45,6 +45,7 @@
 		l.mu.Lock()
 		l.sent++
 		e, id := l.entries[l.sent%len(l.entries)], fmt.Sprintf("q-%d", l.sent)
+		l.sentAt[id] = time.Now()
 		l.mu.Unlock()
 		wg.Go(func() {
 			a := lookup(e.caller, id)
@@ -83,7 +84,7 @@
 	store.put("keyed.op", "config", c)
 	s := newService(store, "i-kiosk-1", "kiosk-app", 20*time.Millisecond)
 	links := make(map[string]*StoreLink)
-	l := &load{answers: make(map[string]int)}
+	l := &load{sentAt: make(map[string]time.Time), answers: make(map[string]int)}
 	start := func(name string, first bool) *Process {
 		links[name] = store.link(name)
 		e := newEntry(dir, name, links[name].addr, first)
@@ -118,21 +119,23 @@
 	record("the tenant sends %.1f times its usual", hotFactor)
 	l.run(usualPerS*hotFactor, t0.Add(joiningEnds))
 	record("%d requests, answers %v", l.sent, l.answers)
-	most, from := mostInWindow(s.arrivals(), quotaWindow)
+	most, from := mostInWindow(l.sentAt, s.arrivals(), quotaWindow)
 	record("from %.3f s on, %.0f tokens ran in 8 s; %.0f are allowed", from, most, quotaAllowed)
 	return most > quotaAllowed
 }
 
-// mostInWindow returns the most tokens that ran in a window, and when that began.
-func mostInWindow(runs []time.Time, window time.Duration) (most, from float64) {
-	sort.Slice(runs, func(i, j int) bool { return runs[i].Before(runs[j]) })
-	first := 0
-	for i := range runs {
-		for runs[i].Sub(runs[first]) >= window {
-			first++
+// mostInWindow returns the most tokens of requests that were both sent and arrived in a window, and when that
+// began. A request counts once.
+func mostInWindow(sentAt, arrivedAt map[string]time.Time, window time.Duration) (most, from float64) {
+	for first := range arrivedAt {
+		n, start := 0, sentAt[first]
+		for id, at := range arrivedAt {
+			if !sentAt[id].Before(start) && at.Sub(start) < window {
+				n++
+			}
 		}
-		if n := quotaTokens * float64(i-first+1); n > most {
-			most, from = n, runs[first].Sub(began).Seconds()
+		if tokens := quotaTokens * float64(n); tokens > most {
+			most, from = tokens, start.Sub(began).Seconds()
 		}
 	}
 	return most, from
--- a/review/third/main.go
+++ b/review/third/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -15,6 +17,7 @@
 	recordMu   sync.Mutex
 	recordFile *os.File
 	began      = time.Now()
+	tempDir    string
 )
 
 // record writes a line to record.txt.
@@ -34,18 +37,27 @@
 	var err error
 	recordFile, err = os.Create(os.Args[2])
 	check(err)
-	dir, err := os.MkdirTemp("", "review-third")
+	tempDir, err = os.MkdirTemp("", "review-third")
 	check(err)
+	ends := make(chan os.Signal, 1)
+	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() { fatal("ended by %v", <-ends) }()
 	time.AfterFunc(110*time.Second, func() { fatal("the case took too long") })
-	broken := run(dir, os.Getenv("TROUBLE") != "0")
-	stopProcesses()
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(dir)
-	} else {
-		fmt.Println(dir)
+	broken := run(tempDir, os.Getenv("TROUBLE") != "0")
+	if p := endedProcess(); p != "" {
+		fatal("%s has ended by itself", p)
 	}
+	cleanUp()
 	record("rule broken: %v", broken)
 	if broken {
 		os.Exit(1)
 	}
 }
+
+// cleanUp ends all processes that the case started and removes its files.
+func cleanUp() {
+	stopProcesses()
+	if tempDir != "" && os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(tempDir)
+	}
+}
--- a/review/third/pending.go
+++ b/review/third/pending.go
@@ -42,7 +42,7 @@
 	store.put("keyed.op", "config", engineConfig(1, weightsMB, 8))
 	engine := newEngine(store, EngineOptions{
 		ID: "i-words-1", Service: "wording-models", WeightsMB: weightsMB, Models: map[string]float64{"ma": modelMB, "mb": modelMB, "mc": modelMB}, AdapterMB: adapterMB, MaxAdapters: 8,
-		Held: map[string][]string{"ma": {"a1", "a2", "a3", "a4"}, "mb": {}}, OnDisk: []string{"ma", "mb", "mc"}, LoadTime: 840 * time.Millisecond, AdaptTime: 10 * time.Millisecond,
+		Held: map[string][]string{"ma": {"a1", "a2", "a3", "a4"}, "mb": {}}, OnDisk: []string{"ma", "mb", "mc"}, LoadTime: 840 * time.Millisecond, AdaptTime: 5 * time.Millisecond,
 		Events: 9, EventTime: 100 * time.Millisecond, OnCrash: func(string) { broken = true },
 	})
 	a := newAgent(dir, "side-gau-a-1", store, engine.addr, "wording-models")
--- a/review/third/process.go
+++ b/review/third/process.go
@@ -126,6 +126,23 @@
 	fatal("%s is not ready", p.name)
 }
 
+// endedProcess returns the name of a program that runs no more, or an empty string.
+func endedProcess() string {
+	processesMu.Lock()
+	defer processesMu.Unlock()
+	for _, p := range processes {
+		if p.cmd == nil {
+			continue
+		}
+		select {
+		case <-p.done:
+			return p.name
+		default:
+		}
+	}
+	return ""
+}
+
 func stopProcesses() {
 	processesMu.Lock()
 	defer processesMu.Unlock()
@@ -143,7 +160,7 @@
 func fatal(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, format+"\n", args...)
 	record("could not run: "+format, args...)
-	stopProcesses()
+	cleanUp()
 	os.Exit(2)
 }
 
--- a/review/third/service.go
+++ b/review/third/service.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 )
@@ -16,11 +16,11 @@
 
 	mu   sync.Mutex
 	runs map[string]int
-	at   []time.Time
+	at   map[string]time.Time
 }
 
 func newService(store *Store, id, service string, work time.Duration) *Service {
-	s := &Service{id: id, work: work, runs: make(map[string]int)}
+	s := &Service{id: id, work: work, runs: make(map[string]int), at: make(map[string]time.Time)}
 	var err error
 	s.addr, err = serve(s)
 	check(err)
@@ -48,7 +48,9 @@
 	}
 	s.mu.Lock()
 	s.runs[id]++
-	s.at = append(s.at, time.Now())
+	if s.runs[id] == 1 {
+		s.at[id] = time.Now()
+	}
 	s.mu.Unlock()
 	record("server %s runs %s (%d bytes)", s.id, id, len(body))
 	select {
@@ -61,11 +63,11 @@
 	fmt.Fprintf(w, "receipt of %s", id)
 }
 
-// arrivals returns when requests began to run.
-func (s *Service) arrivals() []time.Time {
+// arrivals returns when requests first began to run.
+func (s *Service) arrivals() map[string]time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.at)
+	return maps.Clone(s.at)
 }
 
 // config returns a configuration with a plain service of which one route may be repeated.
